Start the package: plan, view, store calls and settings that the slices share

Cause: every slice needs the same few types before it can be worked on apart. Ruled out: one crate per slice, since the slices share one error module and one settings struct and the design asks for one package.

--- /dev/null
+++ b/src/call/mod.rs
@@ -0,0 +1,5 @@
+//! The life cycle of one call.
+
+mod refusal;
+
+pub use refusal::Reason;
--- /dev/null
+++ b/src/call/refusal.rs
@@ -0,0 +1,77 @@
+//! Why a call was refused before any byte of it reached a backend server.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Reason of a truthful "not run".
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[repr(u8)]
+pub enum Reason {
+    /// The gate's queue is full of calls of equal or higher worth.
+    Overloaded = 1,
+    /// The call cannot finish before its deadline.
+    Deadline = 2,
+    /// The availability zone is out of service.
+    ZoneOut = 3,
+    /// The backend server or its node is leaving.
+    Draining = 4,
+    /// The entry's plan is older than the gate's in a way that matters.
+    StalePlan = 5,
+    /// The region is not a home region of the call.
+    Region = 6,
+    /// The backend server does not accept connections.
+    Unreachable = 7,
+    /// The backend server itself refused before running the call.
+    Shed = 8,
+    /// The entry withdrew the call while it was queued.
+    Recalled = 9,
+    /// No eligible backend server is known.
+    NoBackendServer = 10,
+    /// No service of that name is in the plan.
+    UnknownService = 11,
+    /// No route of the service covers the request.
+    UnknownRoute = 12,
+    /// No tenant of that name is in the plan.
+    UnknownTenant = 13,
+    /// The call has passed too many nodes.
+    TooManyHops = 14,
+    /// The request is malformed.
+    Malformed = 15,
+    /// The node has no plan yet.
+    NoPlan = 16,
+    /// The same idempotency key is already running or has run.
+    Duplicate = 17,
+}
+
+impl Reason {
+    /// Name used in headers, metrics and refusal bodies.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Overloaded => "overloaded",
+            Self::Deadline => "deadline",
+            Self::ZoneOut => "zone-out",
+            Self::Draining => "draining",
+            Self::StalePlan => "stale-plan",
+            Self::Region => "region",
+            Self::Unreachable => "unreachable",
+            Self::Shed => "shed",
+            Self::Recalled => "recalled",
+            Self::NoBackendServer => "no-backend-server",
+            Self::UnknownService => "unknown-service",
+            Self::UnknownRoute => "unknown-route",
+            Self::UnknownTenant => "unknown-tenant",
+            Self::TooManyHops => "too-many-hops",
+            Self::Malformed => "malformed",
+            Self::NoPlan => "no-plan",
+            Self::Duplicate => "duplicate",
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/src/gate/mod.rs
@@ -0,0 +1,5 @@
+//! Admission to one backend server. Pure: given time and events, returns actions.
+
+mod load;
+
+pub use load::Load;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! A load balancer without a front tier, for servers whose load shifts within
+//! milliseconds.
+//!
+//! Every backend server has a node beside it. A node is the entry for callers,
+//! the gate of its backend server and a peer of the other nodes. This library
+//! holds all of it; the binaries only read settings and start it.
+
+#[cfg(test)]
+#[macro_use]
+mod cases;
+
+pub mod call;
+pub mod clock;
+pub mod error;
+pub mod gate;
+pub mod headers;
+pub mod membership;
+pub mod plan;
+pub mod settings;
+pub mod store;
+
+pub use error::{Error, Result};
+pub use settings::Settings;
--- /dev/null
+++ b/src/membership/instance.rs
@@ -0,0 +1,43 @@
+//! What one node announces of itself and its backend server.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Counts the starts and re-announcements of one instance. Higher is newer.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Epoch(pub u64);
+
+/// Announcement of one instance, as the store keeps it and peers spread it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Unique name of the instance.
+    pub name: String,
+    /// Newest announcement wins.
+    pub epoch: Epoch,
+    /// Service its backend server belongs to.
+    pub service: String,
+    /// Region it runs in.
+    pub region: String,
+    /// Availability zone it runs in.
+    pub zone: String,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for calls from other nodes.
+    pub peer: SocketAddr,
+    /// Address for the control service between nodes.
+    pub control: SocketAddr,
+    /// Whether it takes work.
+    pub state: State,
+}
+
+/// What an instance announces of its life cycle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// Takes new work.
+    Present,
+    /// Takes no new work and finishes what it has.
+    Leaving,
+}
--- /dev/null
+++ b/src/plan/mod.rs
@@ -0,0 +1,207 @@
+//! The routing plan in force, compiled from the operators' sheet.
+//!
+//! A [`Plan`] is immutable. A node holds the newest one it has seen and never
+//! goes back to an older [`Version`]. Lookups by name happen once per call, at
+//! the edge; everything after works with the `Copy` keys of [`key`].
+
+pub mod key;
+mod regions;
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use http::Method;
+use serde::{Deserialize, Serialize};
+
+pub use regions::Regions;
+
+/// Number of an accepted sheet; each acceptance adds one. Zero means none.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Version(pub u64);
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Everything an accepted sheet states.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Version of the sheet.
+    pub version: Version,
+    /// Arena of [`key::Region`].
+    pub regions: Vec<Region>,
+    /// Arena of [`key::Zone`].
+    pub zones: Vec<Zone>,
+    /// Arena of [`key::Service`].
+    pub services: Vec<Service>,
+    /// Arena of [`key::Tenant`].
+    pub tenants: Vec<Tenant>,
+    /// Arena of [`key::Route`].
+    pub routes: Vec<Route>,
+    /// Region keys by name.
+    pub region_names: BTreeMap<String, key::Region>,
+    /// Availability zone keys by name.
+    pub zone_names: BTreeMap<String, key::Zone>,
+    /// Service keys by name.
+    pub service_names: BTreeMap<String, key::Service>,
+    /// Tenant keys by name.
+    pub tenant_names: BTreeMap<String, key::Tenant>,
+}
+
+/// A region: availability zones joined by fast links.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Region {
+    /// Name in the sheet.
+    pub name: String,
+}
+
+/// An availability zone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Zone {
+    /// Name in the sheet.
+    pub name: String,
+    /// Region the zone lies in.
+    pub region: key::Region,
+    /// Whether the zone takes new work.
+    pub in_service: bool,
+}
+
+/// A service and how its backend servers start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name in the sheet, and in the `Host` header of callers.
+    pub name: String,
+    /// Concurrent calls one backend server can hold at most.
+    pub slots: u32,
+    /// How much work a fresh backend server may take.
+    pub cold: Cold,
+    /// Routes of the service, longest path first.
+    pub routes: Vec<key::Route>,
+}
+
+/// How much work a backend server may take while it warms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cold {
+    /// Concurrent calls during cold start.
+    pub allowance: u32,
+    /// Steps from the allowance up to the slots.
+    pub steps: u32,
+    /// Time of good answers after which the next step is taken.
+    pub step_time: Duration,
+}
+
+/// A tenant and the regions that may serve and store its calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Name in the sheet, and in the `Monsooncove-Tenant` header of callers.
+    pub name: String,
+    /// Home regions.
+    pub regions: Regions,
+}
+
+/// A kind of request of one service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name in the sheet, used in metrics.
+    pub name: String,
+    /// Service the route belongs to.
+    pub service: key::Service,
+    /// Method the route matches; every method when absent.
+    pub method: Option<Method>,
+    /// Path prefix the route matches, in whole segments.
+    pub path: String,
+    /// Home regions.
+    pub regions: Regions,
+    /// Stated worth of one answered call.
+    pub worth: u32,
+    /// Whether the call may run more than once; by method when absent.
+    pub idempotent: Option<bool>,
+    /// Longest time a call may take.
+    pub deadline: Duration,
+    /// Whether a second copy of an idempotent call may run.
+    pub second_copy: bool,
+}
+
+impl Plan {
+    /// The region of `key`.
+    #[must_use]
+    pub fn region(&self, key: key::Region) -> &Region {
+        &self.regions[key.index()]
+    }
+
+    /// The availability zone of `key`.
+    #[must_use]
+    pub fn zone(&self, key: key::Zone) -> &Zone {
+        &self.zones[key.index()]
+    }
+
+    /// The service of `key`.
+    #[must_use]
+    pub fn service(&self, key: key::Service) -> &Service {
+        &self.services[key.index()]
+    }
+
+    /// The tenant of `key`.
+    #[must_use]
+    pub fn tenant(&self, key: key::Tenant) -> &Tenant {
+        &self.tenants[key.index()]
+    }
+
+    /// The route of `key`.
+    #[must_use]
+    pub fn route(&self, key: key::Route) -> &Route {
+        &self.routes[key.index()]
+    }
+
+    /// Most specific route of `service` that matches `method` and `path`.
+    #[must_use]
+    pub fn find_route(
+        &self,
+        service: key::Service,
+        method: &Method,
+        path: &str,
+    ) -> Option<key::Route> {
+        let routes = &self.service(service).routes;
+        routes
+            .iter()
+            .copied()
+            .find(|&key| self.route(key).matches(method, path))
+    }
+
+    /// Regions that may serve and store a call of `route` for `tenant`.
+    #[must_use]
+    pub fn home_regions(&self, route: key::Route, tenant: Option<key::Tenant>) -> Regions {
+        let by_route = self.route(route).regions;
+        tenant.map_or(by_route, |key| {
+            by_route.intersection(self.tenant(key).regions)
+        })
+    }
+}
+
+impl Route {
+    /// Whether the route covers a request.
+    #[must_use]
+    pub fn matches(&self, method: &Method, path: &str) -> bool {
+        let method_matches = self.method.as_ref().is_none_or(|own| own == method);
+        method_matches && has_segments(path, &self.path)
+    }
+
+    /// Whether a call of this route may run more than once (RFC 9110, 9.2.2).
+    #[must_use]
+    pub fn is_idempotent(&self, method: &Method) -> bool {
+        self.idempotent.unwrap_or_else(|| method.is_idempotent())
+    }
+}
+
+fn has_segments(path: &str, prefix: &str) -> bool {
+    let prefix = prefix.trim_end_matches('/');
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || rest.starts_with('?'))
+}
