--- /dev/null
+++ b/src/sheet/tests/mod.rs
@@ -0,0 +1,4 @@
+mod delta;
+mod examples;
+mod faults;
+mod formats;
