--- a/src/plan/tests.rs
+++ b/src/plan/tests/lookup.rs
@@ -2,7 +2,7 @@
 
 use http::Method;
 
-use super::{Plan, Regions, Route, Service, key};
+use crate::plan::{Cold, Plan, Regions, Route, Service, key};
 
 fn route(path: &str, method: Option<Method>) -> Route {
     Route {
@@ -23,7 +23,7 @@
         services: vec![Service {
             name: "odber".into(),
             slots: 9,
-            cold: super::Cold {
+            cold: Cold {
                 allowance: 1,
                 steps: 4,
                 step_time: Duration::from_secs(1),
--- a/src/sheet/delta.rs
+++ b/src/sheet/delta.rs
@@ -44,6 +44,19 @@
         self.changes.is_empty()
     }
 
+    /// The delta that leads back.
+    #[must_use]
+    pub fn reversed(&self) -> Self {
+        let back = |change: &Change| Change {
+            key: change.key.clone(),
+            before: change.after.clone(),
+            after: change.before.clone(),
+        };
+        Self {
+            changes: self.changes.iter().map(back).collect(),
+        }
+    }
+
     pub(super) fn apply(&self, before: &Sheet) -> Result<Sheet, Error> {
         let mut after = before.clone();
         for change in &self.changes {
