Add spans for each hop, sent over OTLP/HTTP

Cause: a slow call must show which hop it was slow in. Ruled out: sampling at the start alone, since failed calls must always be kept; the exporter's own HTTP client, since hyper is here already.

--- a/src/error.rs
+++ b/src/error.rs
@@ -21,6 +21,8 @@
     Logging(String),
     /// metrics cannot be sent: {0}; check --statsd
     Metrics(String),
+    /// traces cannot be sent: {0}; check --otlp
+    Traces(String),
     /// {0}
     Store(crate::store::Error),
     /// {0}; see the log for what led to it
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod log;
 pub mod metric;
+pub mod trace;
