Add the gate and the router

The gate counts exactly what its backend server has in hand, holds the cold allowance, warms in the steps of the sheet, queues by worth and deadline, and refuses while it drains or its availability zone is out. The router draws a few candidates near first and takes the one expected to finish first, within budgets for retries, second copies, probes and bytes between regions.

--- /dev/null
+++ b/src/gate/admission.rs
@@ -0,0 +1,332 @@
+//! The gate itself.
+
+use std::collections::BTreeMap;
+use std::mem;
+use std::time::Duration;
+
+use crate::call::Reason;
+use crate::clock::Time;
+
+use super::boots::Boots;
+use super::life::{Drain, Phase};
+use super::limit::Limit;
+use super::pause::Pause;
+use super::queue::Queue;
+use super::{Action, Arrival, Load, Outcome, Settings, Sign, State, Ticket};
+
+/// Admission to one backend server.
+#[derive(Debug)]
+pub struct Gate {
+    settings: Settings,
+    phase: Phase,
+    says_cold: bool,
+    zone_out_since: Option<Time>,
+    boots: Boots,
+    limit: Limit,
+    pause: Pause,
+    running: BTreeMap<Ticket, Time>,
+    queue: Queue,
+}
+
+impl Gate {
+    /// A gate before a backend server that counts as cold.
+    #[must_use]
+    pub fn new(settings: Settings, now: Time) -> Self {
+        Self {
+            settings,
+            phase: Phase::cold(),
+            says_cold: false,
+            zone_out_since: None,
+            boots: Boots::default(),
+            limit: Limit::new(settings.slots, settings.initial_service_time, now),
+            pause: Pause::default(),
+            running: BTreeMap::new(),
+            queue: Queue::default(),
+        }
+    }
+
+    /// A call asks for admission. A ticket that is running or queued is ignored.
+    pub fn arrive(&mut self, now: Time, arrival: Arrival, actions: &mut Vec<Action>) {
+        if self.running.contains_key(&arrival.ticket) || self.queue.contains(arrival.ticket) {
+            return;
+        }
+        if let Some(reason) = self.closed(now).or_else(|| self.too_late(now, &arrival)) {
+            actions.push(Action::Refuse(arrival.ticket, reason));
+            return;
+        }
+        self.queue.push(&arrival);
+        self.pump(now, actions);
+        self.trim(arrival, actions);
+    }
+
+    /// An admitted call ended. A ticket that is not running is ignored.
+    pub fn finish(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        outcome: Outcome,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.running.remove(&ticket).is_none() {
+            return;
+        }
+        match outcome {
+            Outcome::Answered { service_time } => self.answered(now, service_time),
+            Outcome::Failed => self.failed(now, actions),
+            Outcome::Shed => self.limit.shrink(now),
+            Outcome::Unreachable => self.unreachable(now, actions),
+            Outcome::Cancelled => {}
+        }
+        self.pump(now, actions);
+    }
+
+    /// Takes back a queued call. Tells whether it was queued.
+    pub fn recall(&mut self, _now: Time, ticket: Ticket) -> bool {
+        let recalled = self.queue.remove(ticket);
+        if recalled {
+            self.settle_empty();
+        }
+        recalled
+    }
+
+    /// Something was learned of the backend server.
+    pub fn sign(&mut self, now: Time, sign: Sign, actions: &mut Vec<Action>) {
+        match sign {
+            Sign::Boot(boot) => {
+                if self.boots.note(boot) {
+                    self.transition(Phase::restarted);
+                }
+            }
+            Sign::Cold => {
+                self.says_cold = true;
+                self.transition(Phase::fell);
+            }
+            Sign::Serving => {
+                self.says_cold = false;
+                self.resume(now);
+            }
+            Sign::Draining => {
+                self.transition(|phase| phase.drained(Drain::Announced, now));
+                self.refuse_queue(Reason::Draining, actions);
+            }
+            Sign::Unhealthy => self.transition(Phase::fell),
+        }
+        self.pump(now, actions);
+    }
+
+    /// Takes over new settings.
+    pub fn configure(&mut self, now: Time, settings: Settings, actions: &mut Vec<Action>) {
+        if settings.slots != self.settings.slots {
+            self.limit.reset(settings.slots);
+        }
+        self.settings = settings;
+        self.pump(now, actions);
+    }
+
+    /// The availability zone was taken out of service or put back.
+    pub fn set_zone(&mut self, now: Time, in_service: bool, actions: &mut Vec<Action>) {
+        match (in_service, self.zone_out_since) {
+            (false, None) => self.zone_out_since = Some(now),
+            (true, Some(_)) => {
+                self.zone_out_since = None;
+                self.transition(Phase::returned);
+            }
+            _ => {}
+        }
+        self.pump(now, actions);
+    }
+
+    /// Begins a planned stop.
+    pub fn drain(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.transition(|phase| phase.drained(Drain::Planned, now));
+        self.pump(now, actions);
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.pump(now, actions);
+    }
+
+    /// When [`Gate::tick`] has something to do, unless an event comes first.
+    #[must_use]
+    pub fn next_tick(&self) -> Option<Time> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        let drain_end = self
+            .departure()
+            .map(|at| at + self.settings.drain_queue_time);
+        let times = [self.queue.first_deadline(), drain_end, self.pause.until()];
+        times.into_iter().flatten().min()
+    }
+
+    /// What entries are told.
+    #[must_use]
+    pub fn load(&self, now: Time) -> Load {
+        Load {
+            in_hand: self.in_hand(),
+            queued: self.queued(),
+            limit: self.limit(),
+            service_time: self.limit.service_time(),
+            accepting: self.closed(now).is_none(),
+        }
+    }
+
+    /// State of the backend server's life cycle.
+    #[must_use]
+    pub fn state(&self) -> State {
+        self.phase.state()
+    }
+
+    /// Calls running.
+    #[must_use]
+    pub fn in_hand(&self) -> u32 {
+        count(self.running.len())
+    }
+
+    /// Calls waiting.
+    #[must_use]
+    pub fn queued(&self) -> u32 {
+        count(self.queue.len())
+    }
+
+    /// Calls that may be in hand.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        let slots = self.settings.slots;
+        let cap = self.phase.cap(self.settings.cold, slots);
+        let adapted = self.limit.get(slots).min(cap);
+        if self.pause.is_on_trial() {
+            adapted.min(1)
+        } else {
+            adapted
+        }
+    }
+
+    /// Why no new work is taken.
+    fn closed(&self, now: Time) -> Option<Reason> {
+        if !self.phase.is_open() {
+            return Some(Reason::Draining);
+        }
+        if self.zone_out_since.is_some() {
+            return Some(Reason::ZoneOut);
+        }
+        self.pause.is_closed(now).then_some(Reason::Unreachable)
+    }
+
+    fn too_late(&self, now: Time, arrival: &Arrival) -> Option<Reason> {
+        let limit = self.limit();
+        let ahead = self.in_hand() + count(self.queue.ahead_of(arrival));
+        let rounds = if ahead < limit {
+            0
+        } else {
+            (ahead - limit) / limit.max(1) + 1
+        };
+        let expected = now + self.limit.service_time() * rounds;
+        (arrival.deadline <= now || expected >= arrival.deadline).then_some(Reason::Deadline)
+    }
+
+    fn departure(&self) -> Option<Time> {
+        let drained = self.phase.drain().map(|(_, since)| since);
+        match (drained, self.zone_out_since) {
+            (Some(drain), Some(zone)) => Some(drain.min(zone)),
+            (drain, zone) => drain.or(zone),
+        }
+    }
+
+    fn answered(&mut self, now: Time, service_time: Duration) {
+        let in_hand = self.in_hand();
+        self.limit
+            .answered(now, service_time, in_hand, self.settings.slots);
+        self.pause.succeeded();
+        if !self.says_cold {
+            let cold = self.settings.cold;
+            self.transition(|phase| phase.answered(now, cold));
+        }
+    }
+
+    fn failed(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.pause.failed(now, &self.settings) {
+            self.transition(Phase::fell);
+            self.refuse_queue(Reason::Unreachable, actions);
+        }
+    }
+
+    fn unreachable(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if !self.pause.is_closed(now) {
+            self.pause.begin(now, &self.settings);
+        }
+        self.transition(Phase::fell);
+        self.refuse_queue(Reason::Unreachable, actions);
+    }
+
+    fn resume(&mut self, now: Time) {
+        if let Some((Drain::Announced, since)) = self.phase.drain()
+            && now.since(since) >= self.settings.drain_hold
+        {
+            self.transition(Phase::restarted);
+        }
+    }
+
+    fn transition(&mut self, step: impl FnOnce(Phase) -> Phase) {
+        let before = self.phase.state();
+        self.phase = step(mem::replace(&mut self.phase, Phase::cold()));
+        let after = self.phase.state();
+        if before != after {
+            log::info!("backend server is {after}, was {before}");
+        }
+    }
+
+    /// Drops what cannot finish, admits what fits, notes an end of the drain.
+    fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.expire(now, actions);
+        while self.in_hand() < self.limit() && !self.pause.is_closed(now) {
+            let Some(ticket) = self.queue.pop_first() else {
+                break;
+            };
+            self.running.insert(ticket, now);
+            actions.push(Action::Admit(ticket));
+        }
+        self.settle_empty();
+    }
+
+    fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while let Some(ticket) = self.queue.pop_late(now) {
+            actions.push(Action::Refuse(ticket, Reason::Deadline));
+        }
+        let expired = |since: Time| now.since(since) >= self.settings.drain_queue_time;
+        if self.departure().is_some_and(expired) {
+            let reason = self.closed(now).unwrap_or(Reason::Draining);
+            self.refuse_queue(reason, actions);
+        }
+    }
+
+    /// Sheds the lowest worth when the queue has grown over its capacity.
+    fn trim(&mut self, arrival: Arrival, actions: &mut Vec<Action>) {
+        if self.queue.len() <= self.settings.queue_capacity {
+            return;
+        }
+        let shed = self
+            .queue
+            .pop_below(arrival.worth)
+            .unwrap_or(arrival.ticket);
+        self.queue.remove(shed);
+        actions.push(Action::Refuse(shed, Reason::Overloaded));
+    }
+
+    fn refuse_queue(&mut self, reason: Reason, actions: &mut Vec<Action>) {
+        while let Some(ticket) = self.queue.pop_first() {
+            actions.push(Action::Refuse(ticket, reason));
+        }
+    }
+
+    fn settle_empty(&mut self) {
+        if self.running.is_empty() && self.queue.is_empty() {
+            self.transition(Phase::emptied);
+        }
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -1,5 +1,84 @@
 //! Admission to one backend server. Pure: given time and events, returns actions.
+//!
+//! Every call to a backend server passes the [`Gate`] beside it, so the gate
+//! knows exactly how much the server has in hand. Entries may hold stale
+//! reports; limits, cold allowance, drain and availability zone are enforced
+//! here.
 
+mod admission;
+mod boots;
+mod life;
+mod limit;
 mod load;
+mod pause;
+mod queue;
+mod settings;
+#[cfg(test)]
+mod tests;
 
+use std::time::Duration;
+
+use crate::call::Reason;
+use crate::clock::Time;
+
+pub use admission::Gate;
+pub use life::State;
 pub use load::Load;
+pub use settings::Settings;
+
+/// Key of one arrival, chosen by whoever reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A call that asks for admission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Key of the call at this gate.
+    pub ticket: Ticket,
+    /// Stated worth of an answer.
+    pub worth: u32,
+    /// When the answer is of no use any more.
+    pub deadline: Time,
+}
+
+/// What is to be done with a call that arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Hand the call to the backend server.
+    Admit(Ticket),
+    /// Answer that the call was not run.
+    Refuse(Ticket, Reason),
+}
+
+/// How an admitted call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The backend server answered.
+    Answered {
+        /// Time the backend server took.
+        service_time: Duration,
+    },
+    /// The backend server failed the call.
+    Failed,
+    /// The backend server refused the call without running it.
+    Shed,
+    /// No connection could be made.
+    Unreachable,
+    /// The caller withdrew.
+    Cancelled,
+}
+
+/// What was learned of the backend server besides the outcome of calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// Hash of the boot id seen on an answer or at the health endpoint.
+    Boot(u64),
+    /// It says that it is cold.
+    Cold,
+    /// It says that it is serving.
+    Serving,
+    /// It says that it is draining.
+    Draining,
+    /// Its health endpoint fails.
+    Unhealthy,
+}
--- /dev/null
+++ b/src/gate/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of one gate.
+
+use std::time::Duration;
+
+use crate::plan;
+
+/// How a gate admits calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Concurrent calls the backend server can hold at most.
+    pub slots: u32,
+    /// How much work the backend server may take while it is cold.
+    pub cold: plan::Cold,
+    /// Calls that may wait.
+    pub queue_capacity: usize,
+    /// Service time assumed before the first answer.
+    pub initial_service_time: Duration,
+    /// Longest time that calls queued before a departure may still be admitted.
+    pub drain_queue_time: Duration,
+    /// Failures in a row after which the gate stops admitting for a while.
+    pub failure_streak: u32,
+    /// First pause after a failure streak or a refused connection.
+    pub pause_min: Duration,
+    /// Longest pause.
+    pub pause_max: Duration,
+    /// Time a backend server's word that it drains outweighs a later good sign.
+    pub drain_hold: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            cold: plan::Cold {
+                allowance: 1,
+                steps: 4,
+                step_time: Duration::from_secs(1),
+            },
+            queue_capacity: 32,
+            initial_service_time: Duration::from_millis(10),
+            drain_queue_time: Duration::from_secs(1),
+            failure_streak: 3,
+            pause_min: Duration::from_millis(100),
+            pause_max: Duration::from_secs(5),
+            drain_hold: Duration::from_secs(2),
+        }
+    }
+}
--- /dev/null
+++ b/src/gate/tests/mod.rs
@@ -0,0 +1,2 @@
+mod admission;
+mod harness;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod headers;
 pub mod membership;
 pub mod plan;
+pub mod routing;
 pub mod settings;
 pub mod store;
 
--- /dev/null
+++ b/src/routing/candidates.rs
@@ -0,0 +1,256 @@
+//! Draws a few candidates and finds the one that is expected to finish first.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::call::Reason;
+use crate::clock::Time;
+
+use super::arena::Arena;
+use super::bucket::Bucket;
+use super::estimate::{Expected, micros};
+use super::key::Backend;
+use super::member::{Distance, Member};
+use super::pool::{Group, Pool};
+use super::router::bytes;
+use super::{Ask, Settings};
+
+/// Members looked at for each candidate wanted.
+const STEPS_PER_CANDIDATE: usize = 4;
+/// Share of the service time that a fully used backend server is expected to add.
+const CROWDING: f64 = 0.25;
+/// Seconds of budget that can be saved up for bytes between regions.
+const REMOTE_BURST_S: f64 = 1.0;
+
+/// A backend server that could take the call.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub(super) backend: Backend,
+    pub(super) group: usize,
+    cost_us: f64,
+    transit_us: f64,
+    expected: Expected,
+}
+
+impl Candidate {
+    /// Time after which the call should long have been admitted.
+    pub(super) fn recall_after(&self) -> Duration {
+        let admitted_us = self.transit_us + 2.0 * self.expected.wait_us + self.expected.service_us;
+        Duration::from_secs_f64(admitted_us / 1e6)
+    }
+}
+
+/// One draw.
+pub(super) struct Draw<'a> {
+    pub(super) now: Time,
+    pub(super) ask: &'a Ask,
+    pub(super) settings: &'a Settings,
+    pub(super) arena: &'a Arena,
+    pub(super) pool: &'a Pool,
+    pub(super) remote_bytes: &'a mut BTreeMap<String, Bucket>,
+    pub(super) random: &'a mut ChaCha8Rng,
+    pub(super) drawn: &'a mut Vec<Candidate>,
+}
+
+impl Draw<'_> {
+    /// The drawn candidate that is expected to finish first.
+    pub(super) fn best(&mut self) -> Result<Candidate, Reason> {
+        self.draw_own();
+        self.draw_from(Distance::Zone, self.settings.zone_candidates);
+        self.draw_from(Distance::Region, self.settings.region_candidates);
+        self.draw_from(Distance::Remote, self.settings.remote_candidates);
+        if self.drawn.is_empty() {
+            self.draw_ejected();
+        }
+        let best = self
+            .drawn
+            .iter()
+            .min_by(|one, other| one.cost_us.total_cmp(&other.cost_us));
+        best.copied().ok_or_else(|| self.why_none())
+    }
+
+    fn draw_own(&mut self) {
+        let Some(own) = self.pool.own else {
+            return;
+        };
+        let home = |group: &Group| group.members.contains(&own);
+        if let Some(index) = self.pool.groups.iter().position(home)
+            && self.is_open(index)
+        {
+            self.consider(index, own, Self::is_usable);
+        }
+    }
+
+    /// Draws up to `wanted` candidates from the groups at `distance`.
+    fn draw_from(&mut self, distance: Distance, wanted: usize) {
+        let groups = self.pool.groups.len();
+        let start = self.below(groups);
+        let mut left = wanted;
+        for step in 0..groups {
+            let index = (start + step) % groups;
+            let at_distance = self.pool.groups[index].distance == distance;
+            if left > 0 && at_distance && self.is_open(index) {
+                let fair = wanted.div_ceil(self.groups_at(distance)).min(left);
+                left -= self.draw_members(index, fair);
+            }
+        }
+    }
+
+    fn draw_members(&mut self, index: usize, wanted: usize) -> usize {
+        let pool = self.pool;
+        let members = &pool.groups[index].members;
+        let start = self.below(members.len());
+        let mut found = 0;
+        for step in 0..members.len().min(wanted * STEPS_PER_CANDIDATE) {
+            if found == wanted {
+                break;
+            }
+            let backend = members[(start + step) % members.len()];
+            if self.consider(index, backend, Self::is_usable) {
+                found += 1;
+            }
+        }
+        found
+    }
+
+    /// With nothing else left, an ejected backend server is better than none,
+    /// and one that was tried already comes last.
+    fn draw_ejected(&mut self) {
+        let pool = self.pool;
+        for tried in [false, true] {
+            for (index, group) in pool.groups.iter().enumerate() {
+                if !self.is_open(index) {
+                    continue;
+                }
+                for &backend in &group.members {
+                    if self.ask.avoid.contains(backend) == tried {
+                        self.consider(index, backend, Self::is_present);
+                    }
+                }
+            }
+            if !self.drawn.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn consider(
+        &mut self,
+        group: usize,
+        backend: Backend,
+        fits: fn(&Self, Backend, &Member) -> bool,
+    ) -> bool {
+        let arena = self.arena;
+        let Some(member) = arena.get(backend) else {
+            return false;
+        };
+        let known = self.drawn.iter().any(|drawn| drawn.backend == backend);
+        if known || !fits(self, backend, member) {
+            return false;
+        }
+        let candidate = self.candidate(group, backend, member);
+        self.drawn.push(candidate);
+        true
+    }
+
+    fn candidate(&self, group: usize, backend: Backend, member: &Member) -> Candidate {
+        let expected = member
+            .estimate
+            .expect(self.now, &self.pool.mean, self.settings);
+        let transit_us = 2.0 * micros(self.latency(member.distance));
+        let failures = f64::from(member.health.failures());
+        let weight = 1.0 + CROWDING * expected.occupancy + failures;
+        let near_us = transit_us + expected.wait_us + expected.service_us * weight;
+        let gain = match member.distance {
+            Distance::Remote => self.settings.remote_gain,
+            _ => 0.0,
+        };
+        Candidate {
+            backend,
+            group,
+            cost_us: near_us / (1.0 - gain),
+            transit_us,
+            expected,
+        }
+    }
+
+    fn latency(&self, distance: Distance) -> Duration {
+        match distance {
+            Distance::Own => Duration::ZERO,
+            Distance::Zone => self.settings.zone_latency,
+            Distance::Region => self.settings.region_latency,
+            Distance::Remote => self.settings.remote_latency,
+        }
+    }
+
+    /// Whether calls may go to the group at all.
+    fn is_open(&mut self, index: usize) -> bool {
+        let group = &self.pool.groups[index];
+        group.site.in_service && group.site.allows(self.ask.regions) && self.has_bytes(index)
+    }
+
+    fn has_bytes(&mut self, index: usize) -> bool {
+        let group = &self.pool.groups[index];
+        if group.distance != Distance::Remote {
+            return true;
+        }
+        let per_s = self.settings.remote_bytes_per_s;
+        let now = self.now;
+        if !self.remote_bytes.contains_key(&group.region_name) {
+            let full = Bucket::full(per_s * REMOTE_BURST_S, per_s, now);
+            self.remote_bytes.insert(group.region_name.clone(), full);
+        }
+        let wanted = bytes(self.ask);
+        self.remote_bytes
+            .get_mut(&group.region_name)
+            .is_some_and(|bucket| bucket.has(now, wanted))
+    }
+
+    fn is_usable(&self, backend: Backend, member: &Member) -> bool {
+        let health = &member.health;
+        let trial_runs = health.is_on_trial() && member.estimate.in_flight() > 0;
+        self.is_present(backend, member)
+            && !health.is_ejected(self.now)
+            && !trial_runs
+            && !self.ask.avoid.contains(backend)
+    }
+
+    fn is_present(&self, _backend: Backend, member: &Member) -> bool {
+        !member.leaving && member.health.closed(self.now).is_none()
+    }
+
+    fn groups_at(&self, distance: Distance) -> usize {
+        let at = |group: &&Group| group.distance == distance;
+        self.pool.groups.iter().filter(at).count().max(1)
+    }
+
+    fn below(&mut self, end: usize) -> usize {
+        if end > 1 {
+            self.random.random_range(0..end)
+        } else {
+            0
+        }
+    }
+
+    fn why_none(&self) -> Reason {
+        let groups = &self.pool.groups;
+        if groups.is_empty() {
+            return Reason::NoBackendServer;
+        }
+        let at_home = |group: &&Group| group.site.allows(self.ask.regions);
+        if !groups.iter().any(|group| at_home(&group)) {
+            return Reason::Region;
+        }
+        let in_service = |group: &Group| group.site.in_service;
+        if !groups.iter().filter(at_home).any(in_service) {
+            return Reason::ZoneOut;
+        }
+        let mut members = self.pool.members().filter_map(|key| self.arena.get(key));
+        members
+            .find_map(|member| member.health.closed(self.now))
+            .unwrap_or(Reason::NoBackendServer)
+    }
+}
--- /dev/null
+++ b/src/routing/member.rs
@@ -0,0 +1,105 @@
+//! One known backend server.
+
+use std::net::SocketAddr;
+
+use crate::membership::{Epoch, Instance, State};
+use crate::plan::{Plan, Regions, key};
+
+use super::Place;
+use super::estimate::Estimate;
+use super::health::Health;
+
+/// How far away a backend server is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Distance {
+    Own,
+    Zone,
+    Region,
+    Remote,
+}
+
+/// Where a backend server is and how it does.
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub(super) instance: String,
+    pub(super) epoch: Epoch,
+    pub(super) peer: SocketAddr,
+    pub(super) leaving: bool,
+    pub(super) service_name: String,
+    pub(super) region_name: String,
+    pub(super) zone_name: String,
+    pub(super) distance: Distance,
+    pub(super) site: Option<Site>,
+    pub(super) estimate: Estimate,
+    pub(super) health: Health,
+}
+
+/// Where a backend server stands in the plan in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Site {
+    pub(super) service: key::Service,
+    pub(super) region: Option<key::Region>,
+    pub(super) zone: Option<key::Zone>,
+    pub(super) in_service: bool,
+}
+
+impl Member {
+    pub(super) fn new(instance: &Instance, place: &Place, estimate: Estimate) -> Self {
+        Self {
+            instance: instance.name.clone(),
+            epoch: instance.epoch,
+            peer: instance.peer,
+            leaving: instance.state == State::Leaving,
+            service_name: instance.service.clone(),
+            region_name: instance.region.clone(),
+            zone_name: instance.zone.clone(),
+            distance: distance(instance, place),
+            site: None,
+            estimate,
+            health: Health::default(),
+        }
+    }
+
+    /// Whether the announcement is the one this member was made from.
+    pub(super) fn is_current(&self, instance: &Instance) -> bool {
+        self.epoch == instance.epoch && self.leaving == (instance.state == State::Leaving)
+    }
+
+    /// Finds the member in `plan`. A zone that lies in another region there
+    /// makes the member unknown.
+    pub(super) fn locate(&self, plan: &Plan) -> Option<Site> {
+        let service = *plan.service_names.get(&self.service_name)?;
+        let region = plan.region_names.get(&self.region_name).copied();
+        let zone = plan.zone_names.get(&self.zone_name).copied();
+        let in_service = zone.is_none_or(|zone| plan.zone(zone).in_service);
+        let consistent = zone.is_none_or(|zone| region == Some(plan.zone(zone).region));
+        consistent.then_some(Site {
+            service,
+            region,
+            zone,
+            in_service,
+        })
+    }
+}
+
+impl Site {
+    /// Whether calls that must stay in `regions` may go here.
+    pub(super) fn allows(&self, regions: Regions) -> bool {
+        match self.region {
+            Some(region) => regions.contains(region),
+            None => regions == Regions::ALL,
+        }
+    }
+}
+
+fn distance(instance: &Instance, place: &Place) -> Distance {
+    if instance.name == place.instance {
+        Distance::Own
+    } else if instance.region != place.region {
+        Distance::Remote
+    } else if instance.zone != place.zone {
+        Distance::Region
+    } else {
+        Distance::Zone
+    }
+}
--- /dev/null
+++ b/src/routing/settings.rs
@@ -0,0 +1,84 @@
+//! Settings of one router.
+
+use std::time::Duration;
+
+/// How a router chooses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Candidates drawn in the own availability zone.
+    pub zone_candidates: usize,
+    /// Candidates drawn in the other availability zones of the own region.
+    pub region_candidates: usize,
+    /// Candidates drawn in other regions.
+    pub remote_candidates: usize,
+    /// One-way latency within an availability zone.
+    pub zone_latency: Duration,
+    /// One-way latency between availability zones of a region.
+    pub region_latency: Duration,
+    /// One-way latency between regions.
+    pub remote_latency: Duration,
+    /// Share of the expected time that a call to another region must save.
+    pub remote_gain: f64,
+    /// Bytes a second that the node may send to each other region.
+    pub remote_bytes_per_s: f64,
+    /// Service time assumed before the first report.
+    pub initial_service_time: Duration,
+    /// Age at which half of a report's deviation from the mean is forgotten.
+    pub report_half_life: Duration,
+    /// Age after which a report counts as missing.
+    pub report_lifetime: Duration,
+    /// Time without new calls after a gate said that it takes none.
+    pub closed_time: Duration,
+    /// Failures in a row that eject a backend server.
+    pub failure_streak: u32,
+    /// First time of an ejection; doubles with each that follows at once.
+    pub ejection_min: Duration,
+    /// Longest time of an ejection.
+    pub ejection_max: Duration,
+    /// Largest share of a service's backend servers that may be ejected.
+    pub ejected_share: f64,
+    /// Retries and recalls per call.
+    pub retry_ratio: f64,
+    /// Retries a second that are always allowed.
+    pub retry_floor_per_s: f64,
+    /// Retries that may be saved up.
+    pub retry_burst: f64,
+    /// Second copies per call.
+    pub copy_ratio: f64,
+    /// Second copies that may be saved up.
+    pub copy_burst: f64,
+    /// Bytes a second spent on probes.
+    pub probe_bytes_per_s: f64,
+    /// Bytes that one probe and its answer take.
+    pub probe_bytes: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            zone_candidates: 3,
+            region_candidates: 2,
+            remote_candidates: 2,
+            zone_latency: Duration::from_micros(200),
+            region_latency: Duration::from_millis(1),
+            remote_latency: Duration::from_millis(20),
+            remote_gain: 0.1,
+            remote_bytes_per_s: 2_000_000.0,
+            initial_service_time: Duration::from_millis(10),
+            report_half_life: Duration::from_millis(50),
+            report_lifetime: Duration::from_secs(1),
+            closed_time: Duration::from_millis(250),
+            failure_streak: 3,
+            ejection_min: Duration::from_secs(1),
+            ejection_max: Duration::from_secs(30),
+            ejected_share: 0.5,
+            retry_ratio: 0.04,
+            retry_floor_per_s: 1.0,
+            retry_burst: 10.0,
+            copy_ratio: 0.01,
+            copy_burst: 5.0,
+            probe_bytes_per_s: 2_000.0,
+            probe_bytes: 300.0,
+        }
+    }
+}
--- /dev/null
+++ b/src/routing/tests/harness.rs
@@ -0,0 +1,179 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Time;
+use crate::gate::Load;
+use crate::membership::{Epoch, Instance, Situation, State, View};
+use crate::plan::{Cold, Plan, Region, Regions, Service, Version, Zone, key};
+use crate::routing::{Ask, Avoid, Choice, Event, Place, Router, Settings};
+
+pub(super) const SLOTS: u32 = 8;
+
+/// Zone names and the region each lies in.
+const ZONES: [(&str, u16); 4] = [
+    ("morava-a", 0),
+    ("morava-b", 0),
+    ("cechy-a", 1),
+    ("cechy-b", 1),
+];
+const REGIONS: [&str; 2] = ["morava", "cechy"];
+
+pub(super) fn plan(zones_out: &[&str]) -> Plan {
+    Plan {
+        version: Version(1),
+        regions: REGIONS.map(|name| Region { name: name.into() }).into(),
+        zones: ZONES
+            .iter()
+            .map(|&(name, region)| Zone {
+                name: name.into(),
+                region: key::Region(region),
+                in_service: !zones_out.contains(&name),
+            })
+            .collect(),
+        services: vec![Service {
+            name: "odber".into(),
+            slots: SLOTS,
+            cold: Cold {
+                allowance: 1,
+                steps: 1,
+                step_time: Duration::from_secs(1),
+            },
+            routes: Vec::new(),
+        }],
+        region_names: (0_u16..)
+            .zip(REGIONS)
+            .map(|(index, name)| (name.into(), key::Region(index)))
+            .collect(),
+        zone_names: (0_u16..)
+            .zip(ZONES)
+            .map(|(index, (name, _))| (name.into(), key::Zone(index)))
+            .collect(),
+        service_names: [("odber".to_owned(), key::Service(0))].into(),
+        ..Plan::default()
+    }
+}
+
+pub(super) fn instance(name: &str, zone: &str) -> Instance {
+    let address = ([127, 0, 0, 1], 9).into();
+    Instance {
+        name: name.into(),
+        epoch: Epoch(1),
+        service: "odber".into(),
+        region: zone.split('-').next().unwrap_or_default().into(),
+        zone: zone.into(),
+        caller: address,
+        peer: address,
+        control: address,
+        state: State::Present,
+    }
+}
+
+pub(super) fn view(instances: &[(&str, &str)]) -> View {
+    let mut view = View::default();
+    for (name, zone) in instances {
+        view.merge(instance(name, zone));
+    }
+    view
+}
+
+pub(super) fn idle() -> Load {
+    Load {
+        in_hand: 0,
+        queued: 0,
+        limit: SLOTS,
+        service_time: Duration::from_millis(5),
+        accepting: true,
+    }
+}
+
+pub(super) fn full() -> Load {
+    Load {
+        in_hand: SLOTS,
+        queued: 3 * SLOTS,
+        ..idle()
+    }
+}
+
+pub(super) fn ask() -> Ask {
+    Ask {
+        service: key::Service(0),
+        regions: Regions::ALL,
+        worth: 1,
+        deadline: Time::from_millis(60_000),
+        bytes: 1_000,
+        avoid: Avoid::default(),
+    }
+}
+
+/// A router in morava-a with a clock of its own.
+pub(super) struct Harness {
+    pub(super) router: Router,
+    pub(super) now: Time,
+}
+
+impl Harness {
+    pub(super) fn new(instances: &[(&str, &str)]) -> Self {
+        Self::with(Settings::default(), instances)
+    }
+
+    pub(super) fn with(settings: Settings, instances: &[(&str, &str)]) -> Self {
+        let place = Place {
+            instance: "entry".into(),
+            region: "morava".into(),
+            zone: "morava-a".into(),
+        };
+        let mut harness = Self {
+            router: Router::new(settings, place, 7),
+            now: Time::from_millis(1),
+        };
+        harness.update(&[], &view(instances));
+        harness
+    }
+
+    pub(super) fn update(&mut self, zones_out: &[&str], view: &View) {
+        let situation = Situation {
+            plan: Arc::new(plan(zones_out)),
+            view: Arc::new(view.clone()),
+        };
+        self.router.update(self.now, &situation);
+    }
+
+    pub(super) fn pass(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+
+    pub(super) fn choose(&mut self) -> Choice {
+        self.router
+            .choose(self.now, &ask())
+            .expect("a backend server")
+    }
+
+    pub(super) fn observe(&mut self, choice: &Choice, event: Event) {
+        self.router.observe(self.now, choice.backend, &event);
+    }
+
+    pub(super) fn answer(&mut self, choice: &Choice, load: Load) {
+        let elapsed = Duration::from_millis(5);
+        self.observe(choice, Event::Answered { elapsed, bytes: 1 });
+        self.observe(choice, Event::Report(load));
+    }
+
+    /// Lets every backend server report, `load` by its name.
+    pub(super) fn report(&mut self, load: impl Fn(&str) -> Load) {
+        for _ in 0..64 {
+            let choice = self.choose();
+            self.answer(&choice, load(&choice.instance));
+        }
+    }
+
+    /// Instances chosen by `calls` calls that are answered at once with `load`.
+    pub(super) fn chosen(&mut self, calls: usize, load: impl Fn(&str) -> Load) -> Vec<String> {
+        let mut chosen = Vec::new();
+        for _ in 0..calls {
+            let choice = self.choose();
+            self.answer(&choice, load(&choice.instance));
+            chosen.push(choice.instance);
+        }
+        chosen
+    }
+}
--- /dev/null
+++ b/src/routing/tests/mod.rs
@@ -0,0 +1,2 @@
+mod choice;
+mod harness;
