--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod plan;
 pub mod settings;
+pub mod standin;
 pub mod store;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/src/membership/handle.rs
@@ -0,0 +1,79 @@
+//! What the other slices hold of membership.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use tokio::sync::{mpsc, watch};
+
+use super::Situation;
+
+/// Shared access to the newest [`Situation`].
+#[derive(Clone, Debug)]
+pub struct Handle {
+    current: Arc<ArcSwap<Situation>>,
+    moved: watch::Receiver<()>,
+    suspicions: mpsc::Sender<String>,
+}
+
+impl Handle {
+    pub(super) const fn new(
+        current: Arc<ArcSwap<Situation>>,
+        moved: watch::Receiver<()>,
+        suspicions: mpsc::Sender<String>,
+    ) -> Self {
+        Self {
+            current,
+            moved,
+            suspicions,
+        }
+    }
+
+    /// The newest situation.
+    #[must_use]
+    pub fn situation(&self) -> Arc<Situation> {
+        self.current.load_full()
+    }
+
+    /// Returns when the situation has changed since the last return.
+    pub async fn changed(&mut self) {
+        if self.moved.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Reports that the link to `instance` is dead or refused.
+    pub fn suspect(&self, instance: &str) {
+        // When the queue is full, the same suspicion is already in it or is
+        // raised again by the next call.
+        let _ = self.suspicions.try_send(instance.to_owned());
+    }
+}
+
+/// The side that changes the situation.
+#[derive(Debug)]
+pub(super) struct Publisher {
+    current: Arc<ArcSwap<Situation>>,
+    moved: watch::Sender<()>,
+}
+
+impl Publisher {
+    pub(super) fn new() -> Self {
+        Self {
+            current: Arc::default(),
+            moved: watch::Sender::new(()),
+        }
+    }
+
+    pub(super) fn handle(&self, suspicions: mpsc::Sender<String>) -> Handle {
+        Handle::new(
+            Arc::clone(&self.current),
+            self.moved.subscribe(),
+            suspicions,
+        )
+    }
+
+    pub(super) fn publish(&self, situation: Situation) {
+        self.current.store(Arc::new(situation));
+        self.moved.send_replace(());
+    }
+}
--- /dev/null
+++ b/src/membership/tests/mod.rs
@@ -0,0 +1,1 @@
+mod live;
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,3 @@
+//! Small stand-ins for what surrounds the nodes, for tests and measurements.
+
+pub mod store;
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,6 +6,8 @@
 //! [`WriteId`], never by writing again.
 
 mod error;
+pub mod http;
+pub mod protocol;
 
 use std::future::Future;
 use std::time::Duration;
