--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod routing;
 pub mod settings;
 pub mod sheet;
+pub mod standin;
 pub mod store;
 pub mod telemetry;
 
