--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 #[macro_use]
 mod cases;
 
+pub mod bench;
 pub mod call;
 pub mod clock;
 pub mod error;
@@ -17,6 +18,7 @@
 pub mod membership;
 pub mod plan;
 pub mod settings;
+pub mod standin;
 pub mod store;
 
 pub use error::{Error, Result};
