--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -6,4 +6,6 @@
 //! of this.
 
 pub mod backend;
+pub mod caller;
 pub mod payload;
+pub mod wire;
--- /dev/null
+++ b/src/standin/wire.rs
@@ -0,0 +1,158 @@
+//! A TCP forwarder that can cut, hold and delay what passes.
+
+#[cfg(test)]
+mod tests;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// What the forwarder does with bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// Passes them on.
+    #[default]
+    Pass,
+    /// Passes them on after a delay.
+    Delay(Duration),
+    /// Keeps them until the mode changes.
+    Hold,
+    /// Closes connections, also new ones.
+    Cut,
+}
+
+/// A running forwarder; ends with the value.
+#[derive(Debug)]
+pub struct Wire {
+    address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    target: watch::Sender<Option<SocketAddr>>,
+    bytes: Arc<AtomicU64>,
+    shutdown: CancellationToken,
+}
+
+impl Wire {
+    /// A forwarder on a port of its own, which holds connections until
+    /// [`Wire::connect`] tells where they lead.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port is free.
+    pub async fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let wire = Self {
+            address: listener.local_addr()?,
+            mode: watch::Sender::new(Mode::Pass),
+            target: watch::Sender::new(None),
+            bytes: Arc::default(),
+            shutdown: CancellationToken::new(),
+        };
+        let line = Line {
+            mode: wire.mode.subscribe(),
+            target: wire.target.subscribe(),
+            bytes: Arc::clone(&wire.bytes),
+        };
+        let accepting = accept(listener, line);
+        tokio::spawn(wire.shutdown.clone().run_until_cancelled_owned(accepting));
+        Ok(wire)
+    }
+
+    /// Leads connections to `target`.
+    pub fn connect(&self, target: SocketAddr) {
+        self.target.send_replace(Some(target));
+    }
+
+    /// Address to call in place of the target.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Bytes passed on so far, both ways.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Changes what happens to bytes, also on open connections.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        self.shutdown.cancel();
+        self.mode.send_replace(Mode::Cut);
+    }
+}
+
+#[derive(Clone)]
+struct Line {
+    mode: watch::Receiver<Mode>,
+    target: watch::Receiver<Option<SocketAddr>>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Line {
+    async fn dial(&mut self) -> Option<TcpStream> {
+        let target = *self.target.wait_for(Option::is_some).await.ok()?;
+        TcpStream::connect(target?).await.ok()
+    }
+}
+
+async fn accept(listener: TcpListener, line: Line) {
+    while let Ok((near, _)) = listener.accept().await {
+        tokio::spawn(forward(near, line.clone()));
+    }
+}
+
+async fn forward(near: TcpStream, mut line: Line) {
+    let mut mode = line.mode.clone();
+    if *mode.borrow() == Mode::Cut {
+        return;
+    }
+    let Some(far) = line.dial().await else {
+        return;
+    };
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let there = pump(near_read, far_write, line.clone());
+    let back = pump(far_read, near_write, line);
+    tokio::select! {
+        _ = futures::future::join(there, back) => {}
+        _ = mode.wait_for(|mode| *mode == Mode::Cut) => {}
+    }
+}
+
+async fn pump(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    mut line: Line,
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let read = from.read(&mut buffer).await?;
+        if read == 0 {
+            return to.shutdown().await;
+        }
+        // The sender lives as long as the wire; without it nothing is held.
+        let mode = line.mode.wait_for(|mode| *mode != Mode::Hold).await;
+        let delay = mode.map_or(Duration::ZERO, |mode| match *mode {
+            Mode::Delay(time) => time,
+            Mode::Pass | Mode::Hold | Mode::Cut => Duration::ZERO,
+        });
+        tokio::time::sleep(delay).await;
+        to.write_all(&buffer[..read]).await?;
+        line.bytes.fetch_add(read as u64, Ordering::Relaxed);
+    }
+}
