--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,3 +1,5 @@
 //! Drives and measures real processes on loopback.
 
+pub mod fleet;
+pub mod http;
 pub mod process;
