--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,8 +18,10 @@
 pub mod membership;
 pub mod plan;
 pub mod settings;
+pub mod sheet;
 pub mod standin;
 pub mod store;
+pub mod telemetry;
 
 pub use error::{Error, Result};
 pub use settings::Settings;
