--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,6 +1,10 @@
 //! Small stand-ins for what surrounds the nodes, for tests and measurements.
 
+pub mod backend;
+pub mod caller;
+pub mod payload;
 pub mod store;
+pub mod wire;
 //! Small stand-ins for the outside world: backend server, caller and network.
 //!
 //! The bench and the tests start them as processes of their own. They keep the
@@ -8,7 +12,3 @@
 //! on what the nodes say of themselves. The node and the sheet tool use none
 //! of this.
 
-pub mod backend;
-pub mod caller;
-pub mod payload;
-pub mod wire;
