--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -11,4 +11,3 @@
 pub mod payload;
 pub mod store;
 pub mod wire;
-pub mod wire;
