--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 #[macro_use]
 mod cases;
 
+pub mod bench;
 pub mod call;
 pub mod clock;
 pub mod error;
@@ -16,9 +17,12 @@
 pub mod headers;
 pub mod membership;
 pub mod plan;
+pub mod routing;
 pub mod settings;
 pub mod sheet;
+pub mod standin;
 pub mod store;
+pub mod telemetry;
 
 pub use error::{Error, Result};
 pub use settings::Settings;
