--- /dev/null
+++ b/src/bin/monsooncove-sheet/wait.rs
@@ -0,0 +1,178 @@
+//! Waits until every node has a version in force.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use monsooncove::membership::Instance;
+use monsooncove::plan::Version;
+use monsooncove::store::Client;
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+use crate::exit::Result;
+use crate::fleet;
+use crate::paint;
+use crate::table::Table;
+
+/// Pause between two rounds of questions.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which announcements are read again, so that nodes that leave
+/// are not waited for.
+const ANNOUNCED_REFRESH: Duration = Duration::from_secs(1);
+
+/// How far a version has spread.
+#[derive(Debug, Serialize)]
+pub struct Spread {
+    /// Whether every announced node has it in force.
+    pub complete: bool,
+    /// Time from acceptance to the last node, or to giving up.
+    pub elapsed_ms: u128,
+    /// Zones in the order of their names.
+    pub zones: Vec<Zone>,
+    /// Nodes that do not have it in force.
+    pub late: Vec<String>,
+}
+
+/// How far a version has spread in one zone.
+#[derive(Debug, Serialize)]
+pub struct Zone {
+    /// Name of the zone.
+    pub name: String,
+    /// Announced nodes.
+    pub nodes: usize,
+    /// Nodes that have the version in force.
+    pub in_force: usize,
+    /// Time from acceptance to the last node that has it in force.
+    pub last_ms: u128,
+}
+
+/// Follows `version` for at most `limit`, and prints the result if `print`.
+pub async fn run(
+    client: &impl Client,
+    version: Version,
+    limit: Duration,
+    print: bool,
+) -> Result<Spread> {
+    let mut watch = Watch::new(version, fleet::announced(client).await?);
+    while !watch.is_complete() && watch.start.elapsed() < limit {
+        watch.round().await;
+        if watch.is_complete() {
+            break;
+        }
+        sleep(ROUND_PAUSE).await;
+        if watch.refreshed.elapsed() > ANNOUNCED_REFRESH
+            && let Ok(instances) = fleet::announced(client).await
+        {
+            watch.refresh(instances);
+        }
+    }
+    let spread = watch.spread();
+    if print {
+        paint::text(&words(&spread));
+    }
+    Ok(spread)
+}
+
+struct Watch {
+    version: Version,
+    start: Instant,
+    refreshed: Instant,
+    instances: BTreeMap<String, Instance>,
+    in_force: BTreeMap<String, Duration>,
+}
+
+impl Watch {
+    fn new(version: Version, instances: BTreeMap<String, Instance>) -> Self {
+        let now = Instant::now();
+        Self {
+            version,
+            start: now,
+            refreshed: now,
+            instances,
+            in_force: BTreeMap::new(),
+        }
+    }
+
+    fn refresh(&mut self, instances: BTreeMap<String, Instance>) {
+        self.instances = instances;
+        self.refreshed = Instant::now();
+    }
+
+    fn late(&self) -> impl Iterator<Item = &Instance> {
+        let instances = self.instances.values();
+        instances.filter(|instance| !self.in_force.contains_key(&instance.name))
+    }
+
+    fn is_complete(&self) -> bool {
+        self.late().next().is_none()
+    }
+
+    async fn round(&mut self) {
+        let late = self.late().cloned().collect();
+        for node in fleet::ask(late).await {
+            let reached = |version| version >= self.version;
+            if node
+                .status
+                .is_some_and(|status| reached(status.plan_version))
+            {
+                let name = node.instance.name;
+                self.in_force.insert(name, self.start.elapsed());
+            }
+        }
+    }
+
+    fn spread(&self) -> Spread {
+        let zones: BTreeSet<&str> = self
+            .instances
+            .values()
+            .map(|own| own.zone.as_str())
+            .collect();
+        Spread {
+            complete: self.is_complete(),
+            elapsed_ms: self.start.elapsed().as_millis(),
+            zones: zones.into_iter().map(|zone| self.zone(zone)).collect(),
+            late: self.late().map(|instance| instance.name.clone()).collect(),
+        }
+    }
+
+    fn zone(&self, zone: &str) -> Zone {
+        let nodes = self.instances.values().filter(|own| own.zone == zone);
+        let names: Vec<&String> = nodes.map(|instance| &instance.name).collect();
+        let reached: Vec<&Duration> = names
+            .iter()
+            .filter_map(|name| self.in_force.get(*name))
+            .collect();
+        Zone {
+            name: zone.to_owned(),
+            nodes: names.len(),
+            in_force: reached.len(),
+            last_ms: reached.iter().max().map_or(0, |last| last.as_millis()),
+        }
+    }
+}
+
+fn words(spread: &Spread) -> String {
+    let mut table = Table::new(["zone", "nodes", "in force", "after"]);
+    for zone in &spread.zones {
+        table.row([
+            zone.name.clone(),
+            zone.nodes.to_string(),
+            zone.in_force.to_string(),
+            format!("{} ms", zone.last_ms),
+        ]);
+    }
+    let nodes: usize = spread.zones.iter().map(|zone| zone.nodes).sum();
+    let end = if spread.complete {
+        format!(
+            "in force on all {nodes} nodes after {} ms\n",
+            spread.elapsed_ms
+        )
+    } else {
+        let late = spread.late.join(", ");
+        format!(
+            "not in force after {} ms on: {late}; see status\n",
+            spread.elapsed_ms
+        )
+    };
+    table.to_string() + &end
+}
--- a/src/plan/acceptance.rs
+++ b/src/plan/acceptance.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use displaydoc::Display;
+use serde::Serialize;
 
 use crate::sheet::{self, Delta, Sheet};
 use crate::store::{self, Client, Expect, Outcome, Record, Write, WriteId};
@@ -77,7 +78,7 @@
     Store(store::Error),
     /// it is not known whether the sheet took effect: {0}; run show or diff before applying again
     Unknown(store::Error),
-    /// nothing was changed: the store holds a sheet of version {version} with faults, the first: {fault}; apply a whole sheet with --replace
+    /// nothing was changed: the store holds a sheet of version {version} with faults, the first: {fault}; use the release of this tool that the nodes run
     Damaged {
         /// Version that cannot be read.
         version: Version,
@@ -185,13 +186,41 @@
     }
 }
 
+/// One remembered acceptance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Entry {
+    /// Version that was put in force.
+    pub version: Version,
+    /// Rows that differ from the version before, when still kept.
+    pub changes: Option<usize>,
+}
+
 impl Current {
-    fn conflict(&self, base: Version, before: Option<&Sheet>) -> Conflict {
-        let remembered = || {
-            let stored = self.stored.as_ref()?;
-            stored.head.past_sheet(base, &self.sheet)
+    /// The sheet that was in force as `version`, when it is still kept.
+    #[must_use]
+    pub fn at(&self, version: Version) -> Option<Sheet> {
+        let stored = self.stored.as_ref()?;
+        stored.head.past_sheet(version, &self.sheet)
+    }
+
+    /// Remembered acceptances, newest first.
+    #[must_use]
+    pub fn history(&self) -> Vec<Entry> {
+        let Some(stored) = &self.stored else {
+            return Vec::new();
         };
-        let before = before.cloned().or_else(remembered);
+        let past = &stored.head.past;
+        let versions = std::iter::once(self.version).chain(past.iter().map(|past| past.version));
+        let deltas = past.iter().map(|past| past.delta.as_ref());
+        let changes = deltas.map(|delta| delta.map(|delta| delta.changes.len()));
+        versions
+            .zip(changes.chain(std::iter::once(None)))
+            .map(|(version, changes)| Entry { version, changes })
+            .collect()
+    }
+
+    fn conflict(&self, base: Version, before: Option<&Sheet>) -> Conflict {
+        let before = before.cloned().or_else(|| self.at(base));
         Conflict {
             base,
             version: self.version,
--- a/src/sheet/delta.rs
+++ b/src/sheet/delta.rs
@@ -5,6 +5,7 @@
 use displaydoc::Display as Describe;
 use serde::{Deserialize, Serialize};
 
+use super::column::Column;
 use super::row::{Key, Row};
 use super::{Fault, Sheet, parse, write};
 
@@ -105,12 +106,30 @@
 
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if let Some(row) = &self.before {
-            writeln!(f, "-{}", write::line(&self.key, row))?;
-        }
-        if let Some(row) = &self.after {
-            writeln!(f, "+{}", write::line(&self.key, row))?;
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => {
+                let cells = differing_cells(&self.key, before, after);
+                writeln!(f, "~ {}: {}", self.key, cells.join(", "))
+            }
+            (Some(row), None) => writeln!(f, "- {}", write::line(&self.key, row)),
+            (None, Some(row)) => writeln!(f, "+ {}", write::line(&self.key, row)),
+            (None, None) => Ok(()),
         }
-        Ok(())
     }
 }
+
+fn differing_cells(key: &Key, before: &Row, after: &Row) -> Vec<String> {
+    let before = write::cells(key, before);
+    let after = write::cells(key, after);
+    let pairs = Column::ALL.into_iter().zip(before.into_iter().zip(after));
+    pairs
+        .filter(|(_, (before, after))| before != after)
+        .map(|(column, (before, after))| {
+            format!("{column} {} -> {}", shown(&before), shown(&after))
+        })
+        .collect()
+}
+
+fn shown(cell: &str) -> &str {
+    if cell.is_empty() { "(blank)" } else { cell }
+}
