--- a/src/bin/monsooncove-sheet/apply.rs
+++ b/src/bin/monsooncove-sheet/apply.rs
@@ -13,6 +13,9 @@
 use crate::wait::{self, Spread};
 use crate::{diff, file};
 
+/// Changes that are listed after an acceptance.
+const LINES_MAX: usize = 20;
+
 /// What to apply, and how.
 #[derive(Debug)]
 pub struct Settings<'a> {
@@ -79,7 +82,7 @@
 fn words(acceptance: &Acceptance) -> String {
     match acceptance {
         Acceptance::Accepted { version, delta } => {
-            let lines = diff::lines(delta, Painter::stdout());
+            let lines = diff::lines(delta, Painter::stdout(), LINES_MAX);
             format!(
                 "accepted as version {version}: {}\n{lines}",
                 diff::summary(delta)
@@ -106,7 +109,7 @@
             spread: None,
         });
     } else if let Some(delta) = delta {
-        eprint!("{delta}");
+        eprint!("{}", diff::lines(delta, Painter::plain(), LINES_MAX));
     }
     let changed = match delta {
         Some(delta) => format!("changed the rows above ({})", diff::summary(delta)),
--- a/src/bin/monsooncove-sheet/diff.rs
+++ b/src/bin/monsooncove-sheet/diff.rs
@@ -33,7 +33,7 @@
     } else {
         let summary = summary(&delta);
         paint::text(&format!("against version {}: {summary}\n", current.version));
-        paint::text(&lines(&delta, Painter::stdout()));
+        paint::text(&lines(&delta, Painter::stdout(), usize::MAX));
     }
     Ok(Exit::Done)
 }
@@ -61,10 +61,10 @@
     )
 }
 
-/// One line for each row that differs.
-pub fn lines(delta: &Delta, painter: Painter) -> String {
+/// One line for each row that differs, `most` at most.
+pub fn lines(delta: &Delta, painter: Painter, most: usize) -> String {
     let mut text = String::new();
-    for change in &delta.changes {
+    for change in delta.changes.iter().take(most) {
         let colour = match (&change.before, &change.after) {
             (None, _) => Colour::Green,
             (_, None) => Colour::Red,
@@ -74,5 +74,9 @@
         // Writing to a string cannot fail.
         let _ = writeln!(text, "{}", painter.paint(colour, line.trim_end()));
     }
+    let rest = delta.changes.len().saturating_sub(most);
+    if rest > 0 {
+        let _ = writeln!(text, "and {} more", count(rest, "row"));
+    }
     text
 }
--- a/src/bin/monsooncove-sheet/paint.rs
+++ b/src/bin/monsooncove-sheet/paint.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// No colours.
+    pub fn plain() -> Self {
+        Self { coloured: false }
+    }
+
     /// `words` in `colour`.
     pub fn paint(self, colour: Colour, words: &str) -> String {
         if !self.coloured {
--- a/src/bin/monsooncove-sheet/show.rs
+++ b/src/bin/monsooncove-sheet/show.rs
@@ -42,10 +42,11 @@
 fn lines(history: &[Entry]) -> String {
     let mut text = String::new();
     for entry in history {
-        let changed = entry.changes.map_or_else(
-            || "changes no longer kept".to_owned(),
-            |changes| format!("{} differ", count(changes, "row")),
-        );
+        let changed = match (entry.version, entry.changes) {
+            (Version(1), _) => "the first sheet".to_owned(),
+            (_, Some(changes)) => format!("{} changed", count(changes, "row")),
+            (_, None) => "changes no longer kept".to_owned(),
+        };
         // Writing to a string cannot fail.
         let _ = writeln!(text, "version {}: {changed}", entry.version);
     }
--- a/src/bin/monsooncove-sheet/status.rs
+++ b/src/bin/monsooncove-sheet/status.rs
@@ -92,6 +92,7 @@
         });
         zones[index].group.add(node, current.version);
     }
+    zones.sort_by(|a, b| a.name.cmp(&b.name));
     zones
 }
 
--- a/src/bin/monsooncove-sheet/table.rs
+++ b/src/bin/monsooncove-sheet/table.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-/// A table with a heading; the first column is aligned left, others right.
+/// A table with a heading. Columns of numbers are aligned right.
 #[derive(Clone, Debug)]
 pub struct Table<const N: usize> {
     rows: Vec<[String; N]>,
@@ -21,6 +21,14 @@
         self.rows.push(cells);
     }
 
+    fn is_number(&self, column: usize) -> bool {
+        let mut cells = self.rows.iter().skip(1).map(|row| &row[column]);
+        cells.all(|cell| {
+            cell.trim_start()
+                .starts_with(|first: char| first.is_ascii_digit())
+        })
+    }
+
     fn width(&self, column: usize) -> usize {
         let cells = self.rows.iter().map(|row| row[column].chars().count());
         cells.max().unwrap_or_default()
@@ -33,9 +41,10 @@
         for row in &self.rows {
             let mut line = Vec::new();
             for (column, (cell, &width)) in row.iter().zip(&widths).enumerate() {
-                line.push(match column {
-                    0 => format!("{cell:<width$}"),
-                    _ => format!("{cell:>width$}"),
+                line.push(if self.is_number(column) {
+                    format!("{cell:>width$}")
+                } else {
+                    format!("{cell:<width$}")
                 });
             }
             writeln!(f, "{}", line.join("  ").trim_end())?;
--- a/src/bin/monsooncove-sheet/wait.rs
+++ b/src/bin/monsooncove-sheet/wait.rs
@@ -46,6 +46,15 @@
     pub last_ms: u128,
 }
 
+impl Zone {
+    fn after(&self) -> String {
+        match self.in_force {
+            0 => "-".to_owned(),
+            _ => format!("{} ms", self.last_ms),
+        }
+    }
+}
+
 /// Follows `version` for at most `limit`, and prints the result if `print`.
 pub async fn run(
     client: &impl Client,
@@ -158,7 +167,7 @@
             zone.name.clone(),
             zone.nodes.to_string(),
             zone.in_force.to_string(),
-            format!("{} ms", zone.last_ms),
+            zone.after(),
         ]);
     }
     let nodes: usize = spread.zones.iter().map(|zone| zone.nodes).sum();
--- a/src/plan/acceptance.rs
+++ b/src/plan/acceptance.rs
@@ -74,18 +74,18 @@
 /// Why nothing is known to have been accepted.
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub enum Error {
-    /// nothing was changed: {0}
+    /// {0}; nothing was changed
     Store(store::Error),
-    /// it is not known whether the sheet took effect: {0}; run show or diff before applying again
+    /// it is not known whether the sheet took effect ({0}); run diff, which tells, before applying again
     Unknown(store::Error),
-    /// nothing was changed: the store holds a sheet of version {version} with faults, the first: {fault}; use the release of this tool that the nodes run
+    /// the sheet of version {version} in the store has faults, the first: {fault}; nothing was changed, use the release of this tool that the nodes run
     Damaged {
         /// Version that cannot be read.
         version: Version,
         /// First fault.
         fault: String,
     },
-    /// nothing was changed: other sheets are accepted faster than this one can be compared; apply again
+    /// other sheets are accepted faster than this one can be compared; nothing was changed, try again
     Busy,
 }
 
@@ -178,8 +178,8 @@
                 delta: current.sheet.diff(sheet),
             })
         }
-        Settled::Lost => {
-            let winner = self::current(client).await?;
+        Settled::Lost(winner) => {
+            let winner = read_winner(client, winner).await?;
             let conflict = winner.conflict(base, Some(&current.sheet));
             Ok(Acceptance::Conflict(conflict))
         }
@@ -230,10 +230,23 @@
 }
 
 /// How a write ended for certain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Settled {
+    /// It took effect.
     InForce,
-    Lost,
+    /// The head was another by then, or gone.
+    Lost(Option<Stored>),
+}
+
+/// The head that refused a write is newer than any that is read later from a
+/// store with old answers.
+async fn read_winner(client: &impl Client, winner: Option<Stored>) -> Result<Current, Error> {
+    if let Some(stored) = winner
+        && let Some(text) = head::read_text(client, &stored.head).await?
+    {
+        return read_current(stored, &text);
+    }
+    current(client).await
 }
 
 /// One conditional write of a new head.
@@ -324,15 +337,16 @@
     /// Looks for the write in a head that is not the expected one.
     fn judge(&self, found: Option<&Record>) -> store::Result<Sent> {
         let Some(record) = found else {
-            return Ok(Sent::Settled(Settled::Lost));
+            return Ok(Sent::Settled(Settled::Lost(None)));
         };
-        let head = head::decode(record)?.head;
+        let stored = head::decode(record)?;
+        let head = &stored.head;
         if head.version_of(self.settings.write_id).is_some() {
             return Ok(Sent::Settled(Settled::InForce));
         }
         let base = Version(self.head.version.0 - 1);
         if head.remembers_since(base) {
-            Ok(Sent::Settled(Settled::Lost))
+            Ok(Sent::Settled(Settled::Lost(Some(stored))))
         } else {
             Ok(Sent::unknown("too many sheets were accepted since"))
         }
--- a/src/sheet/check.rs
+++ b/src/sheet/check.rs
@@ -32,8 +32,10 @@
     checker.reject_excess();
     checker.reject_unknown();
     checker.reject_same_match();
-    checker.require(Kind::Zone);
-    checker.require(Kind::Service);
+    if heading.is_complete() {
+        checker.require(Kind::Zone);
+        checker.require(Kind::Service);
+    }
 }
 
 struct Checker<'a> {
--- a/src/sheet/decode.rs
+++ b/src/sheet/decode.rs
@@ -29,6 +29,11 @@
 }
 
 impl Heading {
+    /// Whether every column is there.
+    pub fn is_complete(&self) -> bool {
+        self.positions.iter().all(Option::is_some)
+    }
+
     /// Reads the first row.
     pub fn read(cells: &Cells, faults: &mut Vec<Fault>) -> Self {
         let mut positions = [None; Column::ALL.len()];
--- a/src/sheet/mod.rs
+++ b/src/sheet/mod.rs
@@ -61,6 +61,7 @@
     check::check(&heading, &decoded, &mut faults);
     if !faults.is_empty() {
         faults.sort_by_key(|fault| (fault.row, fault.column));
+        drop_repeated(&mut faults);
         return Err(faults);
     }
     let rows = decoded.into_iter();
@@ -70,6 +71,14 @@
     })
 }
 
+/// A cell that is not UTF-8 is not a name either; one fault says enough.
+fn drop_repeated(faults: &mut Vec<Fault>) {
+    faults.dedup_by(|fault, earlier| {
+        let same_cell = fault.row == earlier.row && fault.column == earlier.column;
+        same_cell && earlier.remedy == read::UTF8_REMEDY
+    });
+}
+
 impl Sheet {
     /// All rows in canonical order.
     pub fn rows(&self) -> impl Iterator<Item = (&Key, &Row)> {
--- a/src/sheet/read.rs
+++ b/src/sheet/read.rs
@@ -7,6 +7,9 @@
 /// Largest sheet that is read.
 pub const SHEET_BYTES_MAX: usize = 8 * 1024 * 1024;
 
+/// What to do about cells in another encoding.
+pub(super) const UTF8_REMEDY: &str = "export the sheet as CSV in UTF-8";
+
 const UTF8_BOM: &[u8] = b"\xef\xbb\xbf";
 const UTF16_BOMS: [&[u8]; 2] = [b"\xff\xfe", b"\xfe\xff"];
 
@@ -48,7 +51,7 @@
         return Some(Fault::new(1, 1, "", &found, &remedy));
     }
     let is_utf16 = UTF16_BOMS.iter().any(|bom| bytes.starts_with(bom));
-    is_utf16.then(|| Fault::new(1, 1, "", "UTF-16", "export the sheet as CSV in UTF-8"))
+    is_utf16.then(|| Fault::new(1, 1, "", "UTF-16", UTF8_REMEDY))
 }
 
 fn split(bytes: &[u8], faults: &mut Vec<Fault>) -> Vec<Cells> {
@@ -120,8 +123,7 @@
     for (index, bytes) in record.iter().enumerate() {
         let text = String::from_utf8_lossy(bytes);
         if std::str::from_utf8(bytes).is_err() {
-            let remedy = "export the sheet as CSV in UTF-8";
-            faults.push(Fault::new(row, index + 1, "", &text, remedy));
+            faults.push(Fault::new(row, index + 1, "", &text, UTF8_REMEDY));
         }
         cells.push(text.trim().to_owned());
     }
--- a/src/sheet/row.rs
+++ b/src/sheet/row.rs
@@ -7,6 +7,7 @@
 
 /// What a row declares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// A region.
     Region,
@@ -71,6 +72,7 @@
 
 /// One declaration without its key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Row {
     /// A region.
     Region,
@@ -148,6 +150,7 @@
 
 /// Regions that may serve and store a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Home {
     /// Every region of the sheet.
     All,
@@ -157,6 +160,7 @@
 
 /// Methods that a route can match.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Method {
     /// GET
     Get,
