--- a/src/telemetry/metric/name.rs
+++ b/src/telemetry/metric/name.rs
@@ -74,22 +74,26 @@
 }
 
 names! {
-    CallReceived, "call.received", Count, ["route"], "Calls that reached this entry";
+    CallReceived, "call.received", Count, [], "Calls that reached this entry";
     CallAnswered, "call.answered", Count, ["route"], "Calls answered by a backend server";
     CallRefused, "call.refused", Count, ["route", "reason"], "Calls refused as not run";
     CallUnknown, "call.unknown", Count, ["route"], "Calls that ended with outcome unknown";
-    CallCancelled, "call.cancelled", Count, ["route"], "Calls whose caller went away";
-    CallAttempts, "call.attempts", Count, ["route"], "Attempts beyond the first";
-    CallRecalled, "call.recalled", Count, ["route"], "Queued calls withdrawn from a slow gate";
+    CallCancelled, "call.cancelled", Count, [], "Calls whose caller went away";
+    CallAttempts, "call.attempts", Count, [], "Attempts beyond the first";
+    CallRecalled, "call.recalled", Count, [], "Queued calls withdrawn from a slow gate";
+    AnswerCut, "answer.cut", Count, [], "Answers cut after their head";
+    CallerRejected, "caller.rejected", Count, [], "Connections of callers refused or cut for what they sent";
     CallTime, "call.time", Micros, ["route"], "Time from request to the end of the answer";
-    GateAdmitted, "gate.admitted", Count, ["route"], "Calls handed to the backend server";
-    GateRefused, "gate.refused", Count, ["reason"], "Calls this gate refused as not run";
-    GateQueueTime, "gate.queue_time", Micros, ["route"], "Time admitted calls waited";
-    GateServiceTime, "gate.service_time", Micros, ["route"], "Time calls spent in the backend server";
+    GateAdmitted, "gate.admitted", Count, [], "Calls handed to the backend server";
+    Refused, "refused", Count, ["reason"], "Refusals of this node as entry or gate, retried ones included";
+    GateQueueTime, "gate.queue_time", Micros, [], "Time admitted calls waited";
+    GateServiceTime, "gate.service_time", Micros, [], "Time calls spent in the backend server";
     GateInHand, "gate.in_hand", Level, [], "Calls in the backend server";
     GateQueued, "gate.queued", Level, [], "Calls that wait";
     GateLimit, "gate.limit", Level, [], "Calls admitted at the same time";
     GateState, "gate.state", Level, ["state"], "1 for the life-cycle state the gate is in";
+    PeerOpened, "peer.opened", Count, [], "Links opened to other nodes";
+    PeerRejected, "peer.rejected", Count, [], "Links closed for what the other side sent";
     PeerDropped, "peer.dropped", Count, [], "Late, doubled or malformed frames dropped";
     PlanVersion, "plan.version", Level, [], "Version of the plan in force";
     PlanAge, "plan.age", Seconds, [], "Time since the plan in force was taken up";
