Spread plan and view by relays, heartbeats and digests

Relays by rendezvous rank follow the store and pass changes on; everybody else learns from them, and from the digests in heartbeats. Decisions are pure; the driver performs them.

--- a/src/membership/control.rs
+++ b/src/membership/control.rs
@@ -3,11 +3,22 @@
 use serde::{Deserialize, Serialize};
 
 use super::Epoch;
+use super::message::{Heartbeat, News};
+use super::roster::Entry;
+use super::text::{Stamp, Update};
 use crate::plan::Version;
 
 /// Control service of one node.
 #[tarpc::service]
 pub trait Control {
+    /// Exchanges a heartbeat for one.
+    async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
+    /// Takes in changes of plan and view.
+    async fn news(news: News);
+    /// Returns the entries of the buckets whose digests differ.
+    async fn pull(buckets: Vec<u64>) -> Vec<Entry>;
+    /// Returns what leads from the text that the caller has to the newest.
+    async fn fetch(have: Stamp) -> Update;
     /// What the node has in force and in hand.
     async fn status() -> Status;
 }
@@ -29,10 +40,27 @@
     pub plan_version: Version,
     /// Instances it knows of.
     pub instances: u32,
+    /// Digest of what it knows of instances.
+    pub roster: u64,
+    /// Whether it relays for its zone.
+    pub relay: bool,
+    /// What its control service has sent and received.
+    pub traffic: Traffic,
     /// State of its gate.
     pub condition: Condition,
 }
 
+/// Control traffic of one node since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// Calls made and answered.
+    pub messages: u64,
+    /// Bytes received on connections between nodes.
+    pub bytes_in: u64,
+    /// Bytes sent on connections between nodes.
+    pub bytes_out: u64,
+}
+
 /// State of the gate of one node.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Condition {
--- /dev/null
+++ b/src/membership/driver.rs
@@ -0,0 +1,218 @@
+//! Performs what the core decides.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures::future::join_all;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::Id;
+use super::control::{Condition, Status};
+use super::core::{Action, Core};
+use super::handle::Publisher;
+use super::links::{Links, Meter};
+use super::message::{Heartbeat, News};
+use super::text::Stamp;
+use crate::clock::{Clock, Time};
+
+/// How often the core is told the time.
+const TICK: Duration = Duration::from_millis(50);
+/// Longest time a heartbeat may take.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time any other call between nodes may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time the word of a leave may take.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Runs one core.
+pub(super) struct Driver {
+    core: Mutex<Core>,
+    clock: Clock,
+    links: Links,
+    meter: Arc<Meter>,
+    publisher: Publisher,
+    /// Raised when the announcement in the store is out of date.
+    pub(super) reannounce: Notify,
+    follow: watch::Sender<bool>,
+}
+
+impl Driver {
+    pub(super) fn new(core: Core, clock: Clock, publisher: Publisher) -> Self {
+        let meter = Arc::<Meter>::default();
+        Self {
+            core: Mutex::new(core),
+            clock,
+            links: Links::new(Arc::clone(&meter)),
+            meter,
+            publisher,
+            reannounce: Notify::new(),
+            follow: watch::Sender::new(true),
+        }
+    }
+
+    pub(super) fn meter(&self) -> Arc<Meter> {
+        Arc::clone(&self.meter)
+    }
+
+    /// Tells whether the store is to be followed.
+    pub(super) fn follow(&self) -> watch::Receiver<bool> {
+        self.follow.subscribe()
+    }
+
+    /// Lets the core take in an event, and does what it decides.
+    pub(super) fn step<T>(
+        self: &Arc<Self>,
+        event: impl FnOnce(&mut Core, Time, &mut Vec<Action>) -> T,
+    ) -> T {
+        let (result, actions) = self.decide(event);
+        for action in actions {
+            self.perform(action);
+        }
+        result
+    }
+
+    /// Reads the core without an event.
+    pub(super) fn read<T>(&self, question: impl FnOnce(&Core) -> T) -> T {
+        question(&self.lock())
+    }
+
+    /// Withdraws this node and waits until its word has gone out.
+    pub(super) async fn leave(self: &Arc<Self>) {
+        let ((), actions) = self.decide(Core::leave);
+        let sent: Vec<JoinHandle<()>> = actions
+            .into_iter()
+            .filter_map(|action| self.perform(action))
+            .collect();
+        // Those that could not be told learn it from the others.
+        let _ = timeout(LEAVE_TIMEOUT, join_all(sent)).await;
+    }
+
+    /// Ticks, and takes in the suspicions of calls.
+    pub(super) async fn run(self: Arc<Self>, mut suspicions: mpsc::Receiver<String>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    self.step(Core::tick);
+                    self.links.close_idle();
+                }
+                Some(name) = suspicions.recv() => {
+                    self.step(|core, now, actions| core.suspect(now, &name, actions));
+                }
+            }
+        }
+    }
+
+    pub(super) fn status(&self, condition: Condition) -> Status {
+        let core = self.lock();
+        let instance = core.instance();
+        Status {
+            instance: instance.name.clone(),
+            epoch: instance.epoch,
+            service: instance.service.clone(),
+            region: instance.region.clone(),
+            zone: instance.zone.clone(),
+            plan_version: core.version(),
+            instances: u32::try_from(core.fleet_size()).unwrap_or(u32::MAX),
+            roster: core.digest(),
+            relay: core.is_relay(),
+            traffic: self.meter.traffic(),
+            condition,
+        }
+    }
+
+    fn decide<T>(
+        &self,
+        event: impl FnOnce(&mut Core, Time, &mut Vec<Action>) -> T,
+    ) -> (T, Vec<Action>) {
+        let mut actions = Vec::new();
+        let mut core = self.lock();
+        let now = self.clock.now();
+        let result = event(&mut core, now, &mut actions);
+        if let Some(situation) = core.take_situation() {
+            self.publisher.publish(situation);
+        }
+        let follow = core.follows_store(now);
+        self.follow
+            .send_if_modified(|current| std::mem::replace(current, follow) != follow);
+        (result, actions)
+    }
+
+    fn perform(self: &Arc<Self>, action: Action) -> Option<JoinHandle<()>> {
+        let driver = Arc::clone(self);
+        let task = match action {
+            Action::Reannounce => {
+                self.reannounce.notify_one();
+                return None;
+            }
+            Action::Beat {
+                to,
+                address,
+                heartbeat,
+            } => tokio::spawn(driver.beat(to, address, heartbeat)),
+            Action::Push { address, news } => tokio::spawn(driver.push(address, news)),
+            Action::Pull { address, buckets } => tokio::spawn(driver.pull(address, buckets)),
+            Action::Fetch { address, have } => tokio::spawn(driver.fetch(address, have)),
+        };
+        Some(task)
+    }
+
+    async fn beat(self: Arc<Self>, to: Id, address: SocketAddr, heartbeat: Heartbeat) {
+        let answer = self
+            .links
+            .call(address, HEARTBEAT_TIMEOUT, |client, context| async move {
+                client.heartbeat(context, heartbeat).await
+            })
+            .await;
+        self.step(|core, now, actions| match answer {
+            Ok(answer) => core.answered(now, to, &answer, actions),
+            Err(failure) => core.failed(now, to, failure, actions),
+        });
+    }
+
+    async fn push(self: Arc<Self>, address: SocketAddr, news: Arc<News>) {
+        // What is lost here, the digests reveal.
+        let _ = self
+            .links
+            .call(address, CALL_TIMEOUT, |client, context| {
+                let news = News::clone(&news);
+                async move { client.news(context, news).await }
+            })
+            .await;
+    }
+
+    async fn pull(self: Arc<Self>, address: SocketAddr, buckets: Vec<u64>) {
+        let entries = self
+            .links
+            .call(address, CALL_TIMEOUT, |client, context| {
+                let buckets = buckets.clone();
+                async move { client.pull(context, buckets).await }
+            })
+            .await;
+        self.step(|core, now, actions| match entries {
+            Ok(entries) => core.pulled(now, entries, actions),
+            Err(_) => core.unanswered(now),
+        });
+    }
+
+    async fn fetch(self: Arc<Self>, address: SocketAddr, have: Stamp) {
+        let update = self
+            .links
+            .call(address, CALL_TIMEOUT, |client, context| async move {
+                client.fetch(context, have).await
+            })
+            .await;
+        self.step(|core, now, actions| match update {
+            Ok(update) => core.fetched(now, update, actions),
+            Err(_) => core.unanswered(now),
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/membership/follower.rs
@@ -0,0 +1,157 @@
+//! Follows the store while this node is a relay or has heard nothing.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::core::Core;
+use super::driver::Driver;
+use super::head::{HEAD_KEY, Head, INSTANCE_PREFIX, ROOT};
+use super::text::Text;
+use super::{Id, Instance, Settings};
+use crate::store::{self, Change, Client, Record, Revision, Watched};
+
+/// Upper bound of the wait after a failed call of the store.
+const RETRY_LIMIT: Duration = Duration::from_secs(1);
+
+/// Follows one store.
+pub(super) struct Follower<C> {
+    settings: Settings,
+    driver: Arc<Driver>,
+    client: Arc<C>,
+    follow: watch::Receiver<bool>,
+    rng: ChaCha8Rng,
+}
+
+impl<C: Client> Follower<C> {
+    pub(super) fn new(settings: Settings, driver: Arc<Driver>, client: Arc<C>) -> Self {
+        let seed = settings.seed ^ Id::of(&settings.instance.name).0 ^ 1;
+        Self {
+            follow: driver.follow(),
+            settings,
+            driver,
+            client,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    pub(super) async fn run(mut self) {
+        loop {
+            if self.follow.wait_for(|follow| *follow).await.is_err() {
+                return;
+            }
+            if let Err(error) = self.follow().await {
+                log::debug!("cannot follow the store: {error}");
+                sleep(RETRY_LIMIT.mul_f64(self.rng.random_range(0.25..=1.0))).await;
+            }
+        }
+    }
+
+    /// Lists, then watches until the duty ends or the history is lost.
+    async fn follow(&mut self) -> store::Result<()> {
+        let listing = self.client.list(ROOT).await?;
+        let mut revision = listing.revision;
+        self.put(listing.records).await?;
+        while *self.follow.borrow_and_update() {
+            sleep(self.settings.watch_spacing).await;
+            let Some(watched) = self.watch(revision).await? else {
+                return Ok(());
+            };
+            let Watched::Changes {
+                revision: seen,
+                changes,
+            } = watched
+            else {
+                return Ok(());
+            };
+            if seen < revision {
+                return Err(store::Error::Refused {
+                    cause: "its answer is older than one before".into(),
+                });
+            }
+            revision = seen;
+            self.apply(changes).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits for changes; nothing when the duty has ended.
+    async fn watch(&mut self, after: Revision) -> store::Result<Option<Watched>> {
+        let wait = self.settings.watch_wait;
+        tokio::select! {
+            watched = self.client.watch(ROOT, after, wait) => watched.map(Some),
+            _ = self.follow.wait_for(|follow| !*follow) => Ok(None),
+        }
+    }
+
+    async fn apply(&self, changes: Vec<Change>) -> store::Result<()> {
+        let mut records = Vec::new();
+        for change in changes {
+            match change {
+                Change::Put(record) => records.push(record),
+                Change::Delete { key, .. } => {
+                    if let Some(name) = key.strip_prefix(INSTANCE_PREFIX) {
+                        self.driver
+                            .step(|core, now, actions| core.store_lapsed(now, name, actions));
+                    }
+                }
+            }
+        }
+        self.put(records).await
+    }
+
+    async fn put(&self, records: Vec<Record>) -> store::Result<()> {
+        let mut instances: Vec<Instance> = Vec::new();
+        let mut head = None;
+        for record in records {
+            if record.key == HEAD_KEY {
+                head = parse::<Head>(&record);
+            } else if record.key.starts_with(INSTANCE_PREFIX) {
+                instances.extend(parse::<Instance>(&record));
+            }
+        }
+        self.driver
+            .step(|core, now, actions| core.store_put(now, instances, actions));
+        match head {
+            Some(head) => self.take_head(head).await,
+            None => Ok(()),
+        }
+    }
+
+    async fn take_head(&self, head: Head) -> store::Result<()> {
+        if head.version < self.driver.read(Core::version) {
+            return Ok(());
+        }
+        let text = read_text(&*self.client, head).await?;
+        self.driver
+            .step(|core, now, actions| core.store_text(now, text, actions));
+        Ok(())
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(record: &Record) -> Option<T> {
+    let parsed = serde_json::from_str(&record.value);
+    if let Err(error) = &parsed {
+        log::warn!("{} in the store is not understood: {error}", record.key);
+    }
+    parsed.ok()
+}
+
+/// The text of `head`, with its parts read.
+async fn read_text<C: Client>(client: &C, head: Head) -> store::Result<Text> {
+    let mut text = head.text.unwrap_or_default();
+    for key in head.parts {
+        let Some(part) = client.get(&key).await? else {
+            return Err(store::Error::Refused {
+                cause: format!("part {key} of the plan is missing"),
+            });
+        };
+        text.push_str(&part.value);
+    }
+    Ok(Text::new(head.version, text))
+}
--- a/src/membership/head.rs
+++ b/src/membership/head.rs
@@ -25,12 +25,3 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<String>,
 }
-
-/// Text of an accepted sheet.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Text {
-    /// Number of the accepted sheet.
-    pub version: Version,
-    /// The canonical sheet.
-    pub text: String,
-}
--- /dev/null
+++ b/src/membership/message.rs
@@ -0,0 +1,56 @@
+//! What nodes tell one another.
+
+use serde::{Deserialize, Serialize};
+
+use super::delta::Delta;
+use super::roster::{Entry, Standing};
+use super::text::Stamp;
+use super::{Epoch, Id};
+
+/// Heartbeat, and the answer to one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Who sends it.
+    pub from: Id,
+    /// Its announcement in force.
+    pub epoch: Epoch,
+    /// Its newest plan text.
+    pub plan: Stamp,
+    /// Digest of its roster.
+    pub roster: u64,
+    /// What it holds of the receiver; nothing when it has not heard of it.
+    pub held: Option<Held>,
+}
+
+/// Standing of an instance under one announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The announcement.
+    pub epoch: Epoch,
+    /// The standing.
+    pub standing: Standing,
+}
+
+/// Changes of plan and view.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Who sends it.
+    pub from: Id,
+    /// Its newest plan text.
+    pub plan: Stamp,
+    /// How to make that text of the one before.
+    pub delta: Option<Delta>,
+    /// Entries that changed.
+    pub entries: Vec<Entry>,
+    /// Instances that do not answer the sender.
+    pub accusations: Vec<Accusation>,
+}
+
+/// One node's word that another does not answer it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accusation {
+    /// Who does not answer.
+    pub accused: Id,
+    /// Its announcement.
+    pub epoch: Epoch,
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,26 +1,43 @@
 //! Which instances exist, and how plan and view spread between nodes.
+//!
+//! [`core`] decides, without I/O. Around it, the driver performs what it
+//! decides, the follower watches the store when this node is to, and the
+//! announcer keeps this node's announcement there. The design is described in
+//! docs/design/membership.md.
 
+mod announcer;
 pub mod control;
+pub mod core;
+pub mod delta;
+mod driver;
+mod follower;
 mod handle;
 mod head;
+mod id;
 mod instance;
+mod links;
 mod member;
+pub mod message;
+pub mod roster;
 mod server;
 mod settings;
 #[cfg(test)]
 mod tests;
+pub mod text;
+pub mod topology;
 mod view;
 
 use std::sync::Arc;
 
 use crate::plan::Plan;
 
-pub use control::{Condition, Status};
+pub use control::{Condition, Status, Traffic};
 pub use handle::Handle;
 pub use head::{HEAD_KEY, Head, INSTANCE_PREFIX};
+pub use id::Id;
 pub use instance::{Epoch, Instance, State};
+pub use links::connect;
 pub use member::{Member, start};
-pub use server::connect;
 pub use settings::{Compile, Settings};
 pub use view::View;
 
@@ -29,6 +46,6 @@
 pub struct Situation {
     /// Plan in force; version zero when none has been learned.
     pub plan: Arc<Plan>,
-    /// Instances known.
+    /// Instances that take new work, as far as this node knows.
     pub view: Arc<View>,
 }
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use super::core::Timing;
 use super::{Epoch, Instance, State};
 use crate::plan::{Plan, Version};
 
@@ -21,6 +22,8 @@
     pub join: Vec<SocketAddr>,
     /// Seed of every random decision.
     pub seed: u64,
+    /// Intervals and timeouts between nodes.
+    pub timing: Timing,
     /// Longest time one watch waits at the store.
     pub watch_wait: Duration,
     /// Shortest time between two watches, so that changes are taken in batches.
@@ -40,6 +43,7 @@
             compile: empty_plan,
             join: Vec::new(),
             seed: 0,
+            timing: Timing::default(),
             watch_wait: Duration::from_secs(10),
             watch_spacing: Duration::from_millis(100),
             fleet_renewals_per_second: 50.0,
