Compare choosers under the same arrivals and faults

Random, round robin, least in flight of two with reported load, the router, and one queue with perfect knowledge take turns over loopback in real time.

--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,3 @@
+//! Drives and measures real processes on loopback.
+
+pub mod policy;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 #[macro_use]
 mod cases;
 
+pub mod bench;
 pub mod call;
 pub mod clock;
 pub mod error;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,8 +6,10 @@
 //! truthful refusal.
 
 mod arena;
+pub mod baseline;
 mod bucket;
 mod candidates;
+mod chooser;
 mod directory;
 mod estimate;
 mod health;
@@ -27,6 +29,7 @@
 use crate::gate::Load;
 use crate::plan::{self, Regions};
 
+pub use chooser::Chooser;
 pub use router::Router;
 pub use settings::Settings;
 
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -105,6 +105,11 @@
         self.retries.take(now, 1.0)
     }
 
+    /// Gives back a token that was taken for a retry that was not made.
+    pub fn return_retry(&mut self) {
+        self.retries.add(1.0);
+    }
+
     /// Takes a token of the budget of second copies. Tells whether there was one.
     pub fn may_copy(&mut self, now: Time) -> bool {
         self.copies.take(now, 1.0)
