--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,10 @@
 pub mod plan;
 pub mod routing;
 pub mod settings;
+pub mod sheet;
+pub mod standin;
 pub mod store;
+pub mod telemetry;
 
 pub use error::{Error, Result};
 pub use settings::Settings;
