--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,6 +1,6 @@
 //! Drives and measures real processes on loopback.
 
-pub mod policy;
 pub mod fleet;
 pub mod http;
+pub mod policy;
 pub mod process;
--- a/src/bench/policy/contender.rs
+++ b/src/bench/policy/contender.rs
@@ -1,6 +1,7 @@
 //! The choosers that are compared.
 
 use std::fmt;
+use std::str::FromStr;
 use std::time::Duration;
 
 use crate::routing::baseline::{Baseline, LeastOfTwo, Random, RoundRobin};
@@ -69,6 +70,18 @@
     }
 }
 
+impl FromStr for Contender {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        let known = Self::ALL.into_iter().find(|one| one.as_str() == name);
+        known.ok_or_else(|| {
+            let names = Self::ALL.map(Self::as_str).join(", ");
+            format!("no chooser is named {name}; use one of {names}")
+        })
+    }
+}
+
 impl fmt::Display for Contender {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
--- a/src/bench/policy/mod.rs
+++ b/src/bench/policy/mod.rs
@@ -63,15 +63,7 @@
 /// # Errors
 ///
 /// When no loopback address can be bound or connected to.
-pub fn run(settings: &Settings) -> Result<Report> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(4)
-        .enable_all()
-        .build()?;
-    runtime.block_on(compare(settings))
-}
-
-async fn compare(settings: &Settings) -> Result<Report> {
+pub async fn run(settings: &Settings) -> Result<Report> {
     let mut report = Report::new(settings);
     for &scenario in &settings.scenarios {
         for round in 0..settings.rounds {
--- a/src/bench/policy/report.rs
+++ b/src/bench/policy/report.rs
@@ -177,7 +177,7 @@
         )?;
         writeln!(
             f,
-            "{:<14} {:<13} {:>7} {:>7} {:>7} {:>8} {:>8} {:>6} {:>7} {:>6} {:>8} {:>9} {:>6} {:>6}",
+            "{:<14} {:<13} {:>7} {:>7} {:>7} {:>8} {:>8} {:>6} {:>7} {:>7} {:>6} {:>8} {:>9} {:>6} {:>6}",
             "scenario",
             "chooser",
             "calls",
@@ -187,6 +187,7 @@
             "worth %",
             "failed",
             "extra‰",
+            "after1s",
             "late",
             "rem kB/s",
             "meas B/s",
@@ -203,7 +204,7 @@
 fn write_row(f: &mut fmt::Formatter<'_>, row: &Row) -> fmt::Result {
     write!(
         f,
-        "{:<14} {:<13} {:>7} {:>7.1} {:>7.1} {:>8.1} {:>8.3} {:>6} {:>7.2} {:>6} {:>8.1} {:>9.0} {:>6} {:>6.1}",
+        "{:<14} {:<13} {:>7} {:>7.1} {:>7.1} {:>8.1} {:>8.3} {:>6} {:>7.2} {:>7.2} {:>6} {:>8.1} {:>9.0} {:>6} {:>6.1}",
         row.scenario,
         row.chooser,
         row.calls,
@@ -213,6 +214,7 @@
         row.worth_percent,
         row.failed,
         row.extra_per_1000,
+        row.settled_extra_per_1000,
         row.late,
         row.remote_kb_per_s,
         row.measuring_bytes_per_s,
--- a/src/bench/policy/shared.rs
+++ b/src/bench/policy/shared.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use crate::call::Reason;
 use crate::clock::Time;
 
 use super::arrivals::{Arrival, DEADLINE};
@@ -79,6 +80,7 @@
 
     fn pump(self: &Arc<Self>, state: &mut State) {
         let now = self.stopwatch.now();
+        self.expire(state, now);
         while let Some((&key, &arrival)) = state.queue.first_key_value() {
             let Some(server) = state.best(now, &arrival) else {
                 return;
@@ -90,6 +92,16 @@
         }
     }
 
+    /// Refuses what has no time left to be worked on.
+    fn expire(&self, state: &mut State, now: Time) {
+        let late = |arrival: &Arrival| now + arrival.work >= arrival.at + DEADLINE;
+        let expired = state.queue.extract_if(.., |_, arrival| late(arrival));
+        for (_, arrival) in expired {
+            let end = End::Refused(Reason::Deadline);
+            self.tally().ended(&arrival, now.since(arrival.at), end);
+        }
+    }
+
     async fn run(self: Arc<Self>, server: usize, link: Arc<Link>, arrival: Arrival) {
         let id = link.next_id();
         let call = Call {
--- a/src/bin/monsooncove-bench/app.rs
+++ b/src/bin/monsooncove-bench/app.rs
@@ -11,6 +11,7 @@
 pub async fn run(matches: &ArgMatches) -> Result<bool> {
     match matches.subcommand() {
         Some(("backend", matches)) => run_backend(matches).await,
+        Some(("policy", matches)) => crate::policy::run(matches).await,
         _ => Ok(false),
     }
 }
--- a/src/bin/monsooncove-bench/main.rs
+++ b/src/bin/monsooncove-bench/main.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod clap_app;
+mod policy;
 
 use std::process::ExitCode;
 
