--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod fleet;
 pub mod http;
+pub mod policy;
 pub mod process;
