--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -3,3 +3,8 @@
 pub mod fleet;
 pub mod http;
 pub mod process;
+pub mod promises;
+pub mod report;
+#[cfg(test)]
+mod tests;
+pub mod traffic;
--- /dev/null
+++ b/src/bench/tests/mod.rs
@@ -0,0 +1,2 @@
+mod promises;
+mod traffic;
