--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,4 +1,5 @@
-//! Small stand-ins for the outside world: backend server, caller and network.
+//! Small stand-ins for the outside world: store, backend server, caller and
+//! network.
 //!
 //! The bench and the tests start them as processes of their own. They keep the
 //! exact books against which the promises are checked, so that no check rests
@@ -8,4 +9,5 @@
 pub mod backend;
 pub mod caller;
 pub mod payload;
+pub mod store;
 pub mod wire;
