--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -9,11 +9,11 @@
 
 use futures::future::try_join_all;
 
-pub use upstream::{Place, Upstream};
+pub use upstream::{Place, Spec, Upstream};
 
 use super::http::Client;
 use super::process::Process;
-use crate::standin::backend::{self, Checks, Control, Executions};
+use crate::standin::backend::{Checks, Control, Executions};
 use crate::standin::caller::Target;
 
 /// Longest wait for the end of a process that was asked to stop.
@@ -49,10 +49,8 @@
 pub struct Settings {
     /// Where the binaries are.
     pub programs: Programs,
-    /// One backend server with its node for each.
-    pub places: Vec<Place>,
-    /// How the backend servers behave; region and seed are set for each.
-    pub backend: backend::Settings,
+    /// Backend servers, each with its node.
+    pub upstreams: Vec<Spec>,
     /// Further flags of every node.
     pub node_flags: Vec<String>,
     /// Whether links between nodes pass through a [`crate::standin::wire::Wire`].
@@ -78,11 +76,8 @@
     pub async fn start(settings: Settings) -> io::Result<Self> {
         let mut store = Process::start("store", &settings.programs.bench, &["store"])?;
         let store_address = listening(&mut store).await?;
-        let starting = settings
-            .places
-            .iter()
-            .enumerate()
-            .map(|(index, place)| Upstream::start(&settings, place, index, store_address));
+        let starting = settings.upstreams.iter();
+        let starting = starting.map(|spec| Upstream::start(&settings, spec, store_address));
         let upstreams = try_join_all(starting).await?;
         Ok(Self {
             settings,
--- a/src/bench/fleet/upstream.rs
+++ b/src/bench/fleet/upstream.rs
@@ -31,6 +31,15 @@
     }
 }
 
+/// What to start in one place.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spec {
+    /// Where it runs.
+    pub place: Place,
+    /// How its backend server behaves.
+    pub backend: backend::Settings,
+}
+
 /// Forwarders in front of one node.
 #[derive(Debug)]
 pub struct Wires {
@@ -58,11 +67,11 @@
 impl Upstream {
     pub(super) async fn start(
         settings: &Settings,
-        place: &Place,
-        index: usize,
+        spec: &Spec,
         store: SocketAddr,
     ) -> io::Result<Self> {
-        let flags = backend_flags(&settings.backend, place, index);
+        let place = &spec.place;
+        let flags = backend_flags(&spec.backend);
         let name = format!("backend of {}", place.instance());
         let mut backend = Process::start(&name, &settings.programs.bench, &flags)?;
         let mut upstream = Self {
@@ -176,17 +185,17 @@
     }
 }
 
-fn backend_flags(settings: &backend::Settings, place: &Place, index: usize) -> Vec<String> {
+fn backend_flags(settings: &backend::Settings) -> Vec<String> {
     let noise_percent = (settings.noise * 100.0).round();
     vec![
         "backend".to_owned(),
-        flag("region", &place.region),
+        flag("region", &settings.region),
         flag("slots", settings.slots),
         flag("service-us", settings.service_time.as_micros()),
         flag("noise-percent", noise_percent),
         flag("cold-allowance", settings.cold_allowance),
         flag("cold-ms", settings.cold_time.as_millis()),
-        flag("seed", settings.seed + index as u64 + 1),
+        flag("seed", settings.seed),
     ]
 }
 
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,7 +1,12 @@
 //! Drives and measures real processes on loopback.
 
+pub mod demo;
 pub mod fleet;
 pub mod http;
+pub mod load;
+pub mod monitor;
+pub mod operator;
+pub mod overhead;
 pub mod process;
 pub mod promises;
 pub mod report;
--- a/src/bench/process.rs
+++ b/src/bench/process.rs
@@ -13,6 +13,8 @@
 use tokio::io::{AsyncBufReadExt, BufReader, Lines};
 use tokio::process::{Child, ChildStdout, Command};
 
+/// Environment variable that lets processes write to standard error.
+const VERBOSE: &str = "MONSOONCOVE_BENCH_VERBOSE";
 /// Longest wait for the line that tells that a process is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -49,7 +51,7 @@
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(stderr())
             .kill_on_drop(true)
             .spawn()
             .map_err(|error| described(name, program, &error))?;
@@ -73,7 +75,9 @@
         let line = tokio::time::timeout(READY_TIMEOUT, self.stdout.next_line())
             .await
             .map_err(|_| self.fault("is not ready in time"))??
-            .ok_or_else(|| self.fault("ended before it was ready; start it by hand to see why"))?;
+            .ok_or_else(|| {
+                self.fault("ended before it was ready; set MONSOONCOVE_BENCH_VERBOSE=1 to see why")
+            })?;
         serde_json::from_str(&line).map_err(|_| self.fault("printed no ready line"))
     }
 
@@ -119,6 +123,14 @@
     }
 }
 
+fn stderr() -> Stdio {
+    if std::env::var_os(VERBOSE).is_some() {
+        Stdio::inherit()
+    } else {
+        Stdio::null()
+    }
+}
+
 fn described(name: &str, program: &Path, error: &io::Error) -> io::Error {
     let program = program.display();
     io::Error::new(
--- a/src/bench/promises.rs
+++ b/src/bench/promises.rs
@@ -122,6 +122,14 @@
         }
     }
 
+    /// Checks the books of callers alone.
+    pub fn check_answers(&mut self, books: &Books) {
+        for entry in books.entries() {
+            let wrong = matches!(entry.ending, Ending::Mixed | Ending::Cut);
+            self.add(Promise::WholeAnswers, 1, wrong.into());
+        }
+    }
+
     /// Checks the books of the backend servers after `elapsed`.
     pub fn check_backends(&mut self, all: &[Checks], elapsed: Duration) {
         let budget = MEASURING_BYTES_PER_SECOND * (elapsed.as_secs() + 1);
--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -119,6 +119,6 @@
 }
 
 /// Rounds to a microsecond.
-fn rounded(millis: f64) -> f64 {
+pub(super) fn rounded(millis: f64) -> f64 {
     (millis * 1e3).round() / 1e3
 }
--- a/src/bench/tests/promises.rs
+++ b/src/bench/tests/promises.rs
@@ -45,6 +45,12 @@
     ledger.tally(promise).violated
 }
 
+fn answers(ending: Ending) -> u64 {
+    let mut ledger = Ledger::default();
+    ledger.check_answers(&books(ending));
+    ledger.violations()
+}
+
 fn backends(promise: Promise, checks: Checks) -> u64 {
     let mut ledger = Ledger::default();
     ledger.check_backends(&[checks], SECOND);
@@ -93,6 +99,8 @@
         assert_eq!(calls(Promise::WholeAnswers, Ending::Mixed, 1), 1);
     cut_answer_is_a_violation:
         assert_eq!(calls(Promise::WholeAnswers, Ending::Cut, 1), 1);
+    mixed_answer_is_a_violation_without_books_of_backend_servers:
+        assert_eq!(answers(Ending::Mixed), 1);
     refusal_without_execution_is_fine:
         assert_eq!(calls(Promise::NotRun, refused(), 0), 0);
     refusal_of_an_executed_call_is_a_violation:
--- a/src/bench/tests/traffic.rs
+++ b/src/bench/tests/traffic.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeSet;
 
-use crate::bench::traffic::{kinds, places};
+use crate::bench::traffic::{kinds, upstreams};
 use crate::plan::{Plan, Version};
 use crate::sheet::example;
 
@@ -34,5 +34,5 @@
     requests_of_the_society_match_the_route_they_are_for:
         assert!(found(&example::society().plan(Version(1))));
     the_farm_has_twelve_upstreams:
-        assert_eq!(places(&farm()).len(), 12);
+        assert_eq!(upstreams(&farm(), 1).len(), 12);
 }
--- a/src/bench/traffic.rs
+++ b/src/bench/traffic.rs
@@ -4,8 +4,9 @@
 
 use http::Method;
 
-use crate::bench::fleet::Place;
+use crate::bench::fleet::{Place, Spec};
 use crate::plan::{Plan, Regions, Route, key};
+use crate::standin::backend;
 use crate::standin::caller::Kind;
 
 /// How long a caller waits beyond the deadline of a route.
@@ -15,15 +16,25 @@
 
 /// One upstream of each service in each availability zone.
 #[must_use]
-pub fn places(plan: &Plan) -> Vec<Place> {
-    let zones = plan.zones.iter();
-    zones
-        .flat_map(|zone| {
-            plan.services.iter().map(|service| Place {
+pub fn upstreams(plan: &Plan, seed: u64) -> Vec<Spec> {
+    let services = plan.services.iter();
+    let pairs = services.flat_map(|service| plan.zones.iter().map(move |zone| (service, zone)));
+    pairs
+        .zip(seed..)
+        .map(|((service, zone), seed)| {
+            let place = Place {
                 service: service.name.clone(),
                 region: plan.region(zone.region).name.clone(),
                 zone: zone.name.clone(),
-            })
+            };
+            let backend = backend::Settings {
+                region: place.region.clone(),
+                slots: service.slots,
+                cold_allowance: service.cold.allowance,
+                seed,
+                ..backend::Settings::default()
+            };
+            Spec { place, backend }
         })
         .collect()
 }
--- a/src/bin/monsooncove-bench/clap_app.rs
+++ b/src/bin/monsooncove-bench/clap_app.rs
@@ -6,14 +6,74 @@
         .about("Drives and measures real monsooncove processes on loopback")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(demo())
+        .subcommand(load())
+        .subcommand(overhead())
+        .subcommand(store())
         .subcommand(backend())
 }
 
+fn demo() -> Command {
+    Command::new("demo")
+        .about("Run a whole example deployment with everything that is meant to go wrong")
+        .after_help("Exit codes: 0 every promise held; 1 one was violated or a call was lost; 2 the run failed.")
+        .arg(deployment())
+        .arg(number("seconds", "30", "Time during which calls are made, at least 12"))
+        .arg(number("rate", "300", "Mean number of calls a second"))
+        .arg(seed())
+        .arg(json())
+}
+
+fn load() -> Command {
+    Command::new("load")
+        .about("Drive running nodes with calls of every route")
+        .after_help("Exit codes: 0 every answer was whole; 1 one was not or a call was lost; 2 the run failed.")
+        .arg(
+            Arg::new("target")
+                .long("target")
+                .value_name("ADDR")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(std::net::SocketAddr))
+                .help("Addresses of nodes for callers"),
+        )
+        .arg(deployment())
+        .arg(number("seconds", "10", "Time during which calls are made"))
+        .arg(number("rate", "300", "Mean number of calls a second"))
+        .arg(
+            Arg::new("http1")
+                .long("http1")
+                .action(ArgAction::SetTrue)
+                .help("Speak HTTP/1.1 in place of HTTP/2"),
+        )
+        .arg(seed())
+        .arg(json())
+}
+
+fn overhead() -> Command {
+    Command::new("overhead")
+        .about("Measure what two nodes add to a call")
+        .arg(number("seconds", "10", "Time during which calls are made"))
+        .arg(number(
+            "rate",
+            "1000",
+            "Mean number of calls a second, half of them through nodes",
+        ))
+        .arg(seed())
+        .arg(json())
+}
+
+fn store() -> Command {
+    Command::new("store")
+        .about("Run a stand-in of the key-value service until it is terminated")
+        .arg(listen())
+}
+
 fn backend() -> Command {
     Command::new("backend")
         .about("Run a stand-in backend server until it is terminated")
         .arg(listen())
-        .arg(text("region", "Region it runs in"))
+        .arg(region())
         .arg(number("slots", "9", "Requests that run at the same time"))
         .arg(number(
             "service-us",
@@ -38,6 +98,15 @@
         .arg(seed())
 }
 
+fn deployment() -> Arg {
+    Arg::new("deployment")
+        .long("deployment")
+        .value_name("NAME")
+        .default_value("farm")
+        .value_parser(["farm", "society"])
+        .help("Example deployment")
+}
+
 fn listen() -> Arg {
     Arg::new("listen")
         .long("listen")
@@ -47,17 +116,23 @@
         .help("Address to listen on")
 }
 
+fn json() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .action(ArgAction::SetTrue)
+        .help("Print one JSON object as the last line")
+}
+
 fn seed() -> Arg {
     number("seed", "1", "Seed of every random choice")
 }
 
-fn text(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
+fn region() -> Arg {
+    Arg::new("region")
+        .long("region")
         .value_name("NAME")
-        .action(ArgAction::Set)
         .default_value("")
-        .help(help)
+        .help("Region it runs in")
 }
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
--- a/src/standin/backend/http.rs
+++ b/src/standin/backend/http.rs
@@ -153,7 +153,10 @@
     };
     guard.stage = Stage::Running;
     let slot = shared.slots.acquire().await;
-    tokio::time::sleep(time).await;
+    // A timer would round no time at all up to a millisecond.
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
     drop(slot);
     guard.stage = Stage::Done;
     echo(shared, id, wanted.unwrap_or_default(), digest, status)
--- a/src/standin/caller/mod.rs
+++ b/src/standin/caller/mod.rs
@@ -86,16 +86,15 @@
     }
 }
 
-/// Makes all calls and waits for the last ending. `started` is called once for
-/// each call that is due.
-pub async fn run(settings: Settings, mut started: impl FnMut(u64)) -> Books {
+/// Makes all calls, the first ones at `origin`, and waits for the last ending.
+/// `started` is told the time of each call that is due.
+pub async fn run(settings: Settings, origin: Instant, mut started: impl FnMut(Duration)) -> Books {
     let client = Client::new(settings.protocol);
     let settings = Arc::new(settings);
     let (sender, mut endings) = mpsc::unbounded_channel();
-    let origin = Instant::now();
     for (number, arrival) in Schedule::new(&settings).enumerate() {
         tokio::time::sleep_until((origin + arrival.due).into()).await;
-        started(number as u64);
+        started(arrival.due);
         let (client, settings, sender) = (client.clone(), Arc::clone(&settings), sender.clone());
         tokio::spawn(async move {
             let kind = &settings.kinds[arrival.kind];
--- a/src/standin/caller/tests.rs
+++ b/src/standin/caller/tests.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::Method;
 use tokio::net::TcpListener;
@@ -72,7 +72,7 @@
             duration: Duration::from_millis(10),
             ..settings()
         };
-        let books = super::run(settings, |_| {}).await;
+        let books = super::run(settings, Instant::now(), |_| {}).await;
         shutdown.cancel();
         serving.await.unwrap();
         let endings = books.entries().iter();
--- a/src/standin/payload.rs
+++ b/src/standin/payload.rs
@@ -19,7 +19,9 @@
 /// On an answer: region of the backend server that ran the request.
 pub const RAN_IN: HeaderName = HeaderName::from_static("x-ran-in");
 
-const BLOCK_BYTES: usize = 8;
+const WORD_BYTES: usize = 8;
+/// Spreads consecutive numbers over all bits.
+const ODD_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// Seed that tells bodies of requests from bodies of answers.
@@ -34,13 +36,16 @@
 /// Bytes `from..to` of the body of `id`.
 #[must_use]
 pub fn slice(id: &str, side: Side, from: usize, to: usize) -> Bytes {
-    let first = from / BLOCK_BYTES;
-    let last = to.div_ceil(BLOCK_BYTES);
-    let blocks: Vec<u8> = (first..last)
-        .flat_map(|block| xxh3_64_with_seed(id.as_bytes(), seed(side, block)).to_le_bytes())
-        .collect();
-    let skipped = from - first * BLOCK_BYTES;
-    Bytes::from(blocks).slice(skipped..skipped + (to - from))
+    let seed = xxh3_64_with_seed(id.as_bytes(), side as u64);
+    let first = from / WORD_BYTES;
+    let last = to.div_ceil(WORD_BYTES);
+    let mut words = Vec::with_capacity((last - first) * WORD_BYTES);
+    for index in first..last {
+        let word = seed.wrapping_add(index as u64).wrapping_mul(ODD_FACTOR);
+        words.extend_from_slice(&word.to_le_bytes());
+    }
+    let skipped = from - first * WORD_BYTES;
+    Bytes::from(words).slice(skipped..skipped + (to - from))
 }
 
 /// The body of `id` in chunks.
@@ -48,11 +53,3 @@
     stream::iter((0..bytes).step_by(CHUNK_BYTES))
         .map(move |from| slice(&id, side, from, bytes.min(from + CHUNK_BYTES)))
 }
-
-fn seed(side: Side, block: usize) -> u64 {
-    let side = match side {
-        Side::Request => 0,
-        Side::Answer => 1,
-    };
-    (block as u64) << 1 | side
-}
