--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -3,11 +3,11 @@
 pub mod demo;
 pub mod fleet;
 pub mod http;
-pub mod policy;
 pub mod load;
 pub mod monitor;
 pub mod operator;
 pub mod overhead;
+pub mod policy;
 pub mod process;
 pub mod promises;
 pub mod report;
