--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -7,6 +7,7 @@
 pub mod acceptance;
 pub mod head;
 pub mod key;
+pub mod path;
 mod regions;
 #[cfg(test)]
 mod tests;
@@ -170,11 +171,12 @@
         method: &Method,
         path: &str,
     ) -> Option<key::Route> {
+        let path = path::normal(path);
         let routes = &self.service(service).routes;
         routes
             .iter()
             .copied()
-            .find(|&key| self.route(key).matches(method, path))
+            .find(|&key| self.route(key).matches(method, &path))
     }
 
     /// Regions that may serve and store a call of `route` for `tenant`.
@@ -188,7 +190,7 @@
 }
 
 impl Route {
-    /// Whether the route covers a request.
+    /// Whether the route covers a request for a path in normal form.
     #[must_use]
     pub fn matches(&self, method: &Method, path: &str) -> bool {
         let method_matches = self.method.as_ref().is_none_or(|own| own == method);
@@ -204,6 +206,9 @@
 
 fn has_segments(path: &str, prefix: &str) -> bool {
     let prefix = prefix.trim_end_matches('/');
-    path.strip_prefix(prefix)
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || rest.starts_with('?'))
+    match path.as_bytes().get(prefix.len()) {
+        None => path == prefix,
+        Some(b'/') => path.starts_with(prefix),
+        Some(_) => false,
+    }
 }
--- a/src/plan/tests/lookup.rs
+++ b/src/plan/tests/lookup.rs
@@ -49,6 +49,18 @@
         assert_eq!(found(&Method::GET, "/orders/drafts/7"), Some(key::Route(1)));
     prefix_matches_whole_segments_only:
         assert_eq!(found(&Method::GET, "/ordersheet"), None);
+    encoded_path_is_the_same_path:
+        assert_eq!(found(&Method::GET, "/%6frders/7"), Some(key::Route(1)));
+    encoded_slash_is_part_of_a_segment:
+        assert_eq!(found(&Method::GET, "/orders%2F7"), None);
+    dot_segments_do_not_reach_another_route:
+        assert_eq!(found(&Method::GET, "/calendar/../orders/./7"), Some(key::Route(1)));
+    dot_segments_do_not_hide_a_route:
+        assert_eq!(found(&Method::GET, "/orders/%2e%2e/payments"), None);
+    empty_segments_do_not_hide_a_route:
+        assert_eq!(found(&Method::GET, "//orders//7"), Some(key::Route(1)));
+    broken_encoding_is_left_as_it_is:
+        assert_eq!(found(&Method::GET, "/orders/%zz/%"), Some(key::Route(1)));
     query_is_not_part_of_the_path:
         assert_eq!(found(&Method::GET, "/orders?day=3"), Some(key::Route(1)));
 }
--- a/src/sheet/decode.rs
+++ b/src/sheet/decode.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
 
+use crate::plan::path;
+
 use super::column::Column;
 use super::fault::Fault;
 use super::read::Cells;
@@ -344,7 +346,7 @@
         }
         self.fault(
             Column::Path,
-            "write a path such as /orders: it begins with a slash, has no empty segment, \
+            "write a path such as /orders: it begins with a slash, has no empty or dot segment, \
              no query and at most 512 characters of a URL path",
         );
         None
@@ -382,5 +384,6 @@
     text.starts_with('/')
         && text.len() <= PATH_CHARS_MAX
         && text.bytes().all(allowed)
-        && (text == "/" || text[1..].split('/').all(|segment| !segment.is_empty()))
+        && (text == "/" || !text.ends_with('/'))
+        && path::normal(text) == text
 }
--- a/src/sheet/tests/faults.rs
+++ b/src/sheet/tests/faults.rs
@@ -59,7 +59,9 @@
     signed_number: shows!(faults("9,2,4,500", "9,+2,4,500"), @r#"row 11, column F (cold_allowance), value "+2": write a whole number from 1 to 9"#);
     number_with_decimals: shows!(faults("all,20,,800", "all,20,,0.8"), @r#"row 17, column O (deadline_ms), value "0.8": write a whole number from 1 to 3600000"#);
     cell_of_another_kind: shows!(faults("zone,cechy-a,cechy,in,", "zone,cechy-a,cechy,in,9"), @r#"row 5, column E (slots), value "9": clear the cell; a zone has no slots"#);
-    path_with_query: shows!(faults("/calendar", "/calendar?day=1"), @r#"row 17, column K (path), value "/calendar?day=1": write a path such as /orders: it begins with a slash, has no empty segment, no query and at most 512 characters of a URL path"#);
+    path_with_query: shows!(faults("/calendar", "/calendar?day=1"), @r#"row 17, column K (path), value "/calendar?day=1": write a path such as /orders: it begins with a slash, has no empty or dot segment, no query and at most 512 characters of a URL path"#);
+    path_with_dots: shows!(faults("/calendar", "/a/../calendar"), @r#"row 17, column K (path), value "/a/../calendar": write a path such as /orders: it begins with a slash, has no empty or dot segment, no query and at most 512 characters of a URL path"#);
+    path_with_needless_encoding: shows!(faults("/calendar", "/%63alendar"), @r#"row 17, column K (path), value "/%63alendar": write a path such as /orders: it begins with a slash, has no empty or dot segment, no query and at most 512 characters of a URL path"#);
     second_copy_of_a_call_that_runs_once: shows!(faults("80,no,2000,no", "80,no,2000,yes"), @r#"row 20, column P (second_copy), value "yes": write no; a second copy may run only where the call is idempotent"#);
     cell_without_heading: shows!(report(format!("{}region,x,,,,,,,,,,,,,,,y\n", example::FARM).as_bytes()), @r#"row 30, column Q, value "y": clear the cell; it has no heading"#);
     region_called_all: shows!(faults("region,cechy", "region,all"), @r#"
--- a/src/sheet/tests/mod.rs
+++ b/src/sheet/tests/mod.rs
@@ -2,3 +2,4 @@
 mod examples;
 mod faults;
 mod formats;
+mod properties;
