--- a/src/sheet/tests/mod.rs
+++ b/src/sheet/tests/mod.rs
@@ -1,4 +1,5 @@
 mod delta;
+mod documentation;
 mod examples;
 mod faults;
 mod formats;
