--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -54,3 +54,26 @@
             (Name::CallerAdvertise, "10.0.0.1:80"),
         ], &[]).contains("cannot be announced"));
 }
+
+fn table_row(name: Name) -> String {
+    format!(
+        "| `--{}` | `{}` | {} | {} | {} |",
+        name.flag(),
+        name.variable(),
+        name.value(),
+        name.default().unwrap_or("–"),
+        name.help(),
+    )
+}
+
+cases! {
+    page_lists_every_setting_and_no_other: {
+        let page = include_str!("../../docs/OPERATIONS.md");
+        let listed: Vec<_> = page
+            .lines()
+            .filter(|line| line.starts_with("| `--"))
+            .collect();
+        let known: Vec<_> = Name::ALL.iter().map(|name| table_row(*name)).collect();
+        assert_eq!(listed, known);
+    };
+}
--- a/src/telemetry/log/mod.rs
+++ b/src/telemetry/log/mod.rs
@@ -12,7 +12,7 @@
 
 use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 
 use crate::plan::Version;
 use crate::settings::LogFormat;
@@ -21,6 +21,9 @@
 
 const APPENDER: &str = "stderr";
 
+/// Libraries that log every request; only their warnings are of interest.
+const CHATTY: [&str; 4] = ["tarpc", "h2", "hyper", "opentelemetry"];
+
 /// Who writes the lines.
 #[derive(Clone, Debug, Default)]
 pub struct Identity {
@@ -66,8 +69,10 @@
         .encoder(Box::new(encoder))
         .build();
     let root = Root::builder().appender(APPENDER).build(level);
+    let quiet = level.min(LevelFilter::Warn);
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, Box::new(appender)))
+        .loggers(CHATTY.map(|library| Logger::builder().build(library, quiet)))
         .build(root)
         .map_err(|error| crate::Error::Logging(error.to_string()))?;
     log4rs::init_config(config).map_err(|error| crate::Error::Logging(error.to_string()))?;
