--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -11,6 +11,7 @@
 pub mod process;
 pub mod promises;
 pub mod report;
+pub mod slopes;
 #[cfg(test)]
 mod tests;
 pub mod traffic;
--- /dev/null
+++ b/src/bench/slopes/mod.rs
@@ -0,0 +1,9 @@
+//! What each role costs, as slopes over its size, from real processes.
+
+mod fit;
+#[cfg(test)]
+mod tests;
+mod usage;
+
+pub use fit::{Fit, Point};
+pub use usage::Usage;
