--- a/src/bench/process.rs
+++ b/src/bench/process.rs
@@ -14,7 +14,7 @@
 use tokio::process::{Child, ChildStdout, Command};
 
 /// Environment variable that lets processes write to standard error.
-const VERBOSE: &str = "MONSOONCOVE_BENCH_VERBOSE";
+const VERBOSE: &str = "BENCH_VERBOSE";
 /// Longest wait for the line that tells that a process is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -76,7 +76,7 @@
             .await
             .map_err(|_| self.fault("is not ready in time"))??
             .ok_or_else(|| {
-                self.fault("ended before it was ready; set MONSOONCOVE_BENCH_VERBOSE=1 to see why")
+                self.fault("ended before it was ready; set BENCH_VERBOSE=1 to see why")
             })?;
         serde_json::from_str(&line).map_err(|_| self.fault("printed no ready line"))
     }
