Write each log line at once

Cause: the encoder wrote a line in pieces, and lines of processes that share a standard error mixed; seen in a demo when twelve nodes stopped together. Change: one write a line. Libraries that log single requests are silent.

--- a/src/telemetry/log/line.rs
+++ b/src/telemetry/log/line.rs
@@ -41,6 +41,22 @@
             message: record.args().to_string(),
         }
     }
+
+    fn text(&self, line: &Line) -> serde_json::Result<String> {
+        Ok(match self.format {
+            LogFormat::Text => format!(
+                "{} {:<5} instance={} zone={} plan={} {}: {}\n",
+                line.time,
+                line.level,
+                line.instance,
+                line.zone,
+                line.plan,
+                line.part,
+                single_line(&line.message),
+            ),
+            LogFormat::Json => format!("{}\n", serde_json::to_string(line)?),
+        })
+    }
 }
 
 /// The slice a line comes from.
@@ -52,23 +68,8 @@
 impl Encode for Encoder {
     fn encode(&self, writer: &mut dyn Write, record: &Record) -> anyhow::Result<()> {
         let line = self.line(record);
-        match self.format {
-            LogFormat::Text => writeln!(
-                writer,
-                "{} {:<5} instance={} zone={} plan={} {}: {}",
-                line.time,
-                line.level,
-                line.instance,
-                line.zone,
-                line.plan,
-                line.part,
-                single_line(&line.message),
-            )?,
-            LogFormat::Json => {
-                let text = serde_json::to_string(&line)?;
-                writeln!(writer, "{text}")?;
-            }
-        }
+        // One write a line, so that lines of several threads do not mix.
+        writer.write_all(self.text(&line)?.as_bytes())?;
         Ok(())
     }
 }
--- a/src/telemetry/log/mod.rs
+++ b/src/telemetry/log/mod.rs
@@ -21,8 +21,8 @@
 
 const APPENDER: &str = "stderr";
 
-/// Libraries that log every request; only their warnings are of interest.
-const CHATTY: [&str; 4] = ["tarpc", "h2", "hyper", "opentelemetry"];
+/// Libraries that log single requests, which is left to metrics and spans.
+const CHATTY: [&str; 5] = ["tarpc", "h2", "hyper", "hyper_util", "opentelemetry"];
 
 /// Who writes the lines.
 #[derive(Clone, Debug, Default)]
@@ -69,10 +69,9 @@
         .encoder(Box::new(encoder))
         .build();
     let root = Root::builder().appender(APPENDER).build(level);
-    let quiet = level.min(LevelFilter::Warn);
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, Box::new(appender)))
-        .loggers(CHATTY.map(|library| Logger::builder().build(library, quiet)))
+        .loggers(CHATTY.map(|library| Logger::builder().build(library, LevelFilter::Off)))
         .build(root)
         .map_err(|error| crate::Error::Logging(error.to_string()))?;
     log4rs::init_config(config).map_err(|error| crate::Error::Logging(error.to_string()))?;
