--- /dev/null
+++ b/src/backend/executor.rs
@@ -0,0 +1,333 @@
+//! The gate's side of a call: plan, admission, dispatch, answer.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, Response, Uri, Version as HttpVersion};
+use http_body_util::BodyExt;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::call::{
+    Admission, Admitted, Body, Call, Context, Dispatched, Event, Ids, Loss, NotRun, Observer,
+    Reason, Routed, Shed, Situations, Trace, Unknown, region_names,
+};
+use crate::clock::{Clock, Time};
+use crate::gate::{Load, Sign};
+use crate::headers;
+use crate::plan::{Plan, Regions, Version, key};
+use crate::routing::Place;
+
+use super::answer::Tracked;
+use super::{Client, Connection, Failure};
+
+/// Runs calls on this node's own backend server.
+pub struct Executor {
+    /// Where the node runs.
+    pub place: Place,
+    /// Service of the backend server.
+    pub service: String,
+    /// Plan in force.
+    pub situations: Arc<dyn Situations>,
+    /// Admission to the backend server.
+    pub admission: Arc<Admission>,
+    /// Connections to the backend server.
+    pub client: Arc<dyn Client>,
+    /// Clock of the node.
+    pub clock: Clock,
+    /// Metrics.
+    pub observer: Arc<dyn Observer>,
+    /// Source of span ids.
+    pub ids: Arc<Ids>,
+}
+
+impl fmt::Debug for Executor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Executor")
+            .field("place", &self.place)
+            .field("service", &self.service)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A call for the backend server.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Service asked for.
+    pub service: String,
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query.
+    pub path: PathAndQuery,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Limits that travel with the call.
+    pub context: Context,
+    /// When the call is worth nothing any more.
+    pub deadline: Time,
+    /// Plan by which the entry chose.
+    pub plan: Version,
+    /// Span of the gate.
+    pub trace: Trace,
+}
+
+/// What became of a call.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The backend server answered.
+    Answered(Response<Body>),
+    /// It certainly did not run.
+    NotRun(NotRun),
+    /// It may have run.
+    Unknown(Unknown),
+}
+
+/// What passes between a running call and whoever waits for it.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Told when a queued call is to be withdrawn.
+    pub recall: Notify,
+    /// Told when the gate has let the call through.
+    pub admitted: Notify,
+}
+
+/// What the plan says of a call.
+#[derive(Clone, Debug)]
+struct Rule {
+    version: Version,
+    worth: u32,
+    deadline: Duration,
+    idempotent: bool,
+    regions: Option<Vec<String>>,
+}
+
+impl Executor {
+    /// What entries are told of the backend server.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.admission.load()
+    }
+
+    /// Version of the plan in force.
+    #[must_use]
+    pub fn plan(&self) -> Version {
+        self.situations.situation().plan.version
+    }
+
+    /// Runs `job`. Asks for its body only when it is about to be sent.
+    pub async fn execute(
+        &self,
+        job: Job,
+        progress: &Progress,
+        body: impl FnOnce() -> Body + Send,
+    ) -> Outcome {
+        let started = self.clock.now();
+        let call = Call::receive(job.deadline);
+        let rule = match self.rule(&job) {
+            Ok(rule) => rule,
+            Err(reason) => return self.refuse(call.refuse(reason)),
+        };
+        let call = call.route(rule.worth, started + rule.deadline);
+        let call = match self.admit(call, progress).await {
+            Ok(call) => call,
+            Err(refused) => return self.refuse(refused),
+        };
+        let queue_time = self.clock.now().since(started);
+        self.observer.event(Event::Admitted { queue_time });
+        let rule = match self.rule_after_queue(&job, rule) {
+            Ok(rule) => rule,
+            Err(reason) => return self.refuse(call.refuse(reason)),
+        };
+        progress.admitted.notify_one();
+        self.run(call, job, &rule, body).await
+    }
+
+    fn refuse(&self, refused: NotRun) -> Outcome {
+        self.observer.event(Event::Refused(refused.reason()));
+        Outcome::NotRun(refused)
+    }
+
+    async fn admit(
+        &self,
+        call: Call<Routed>,
+        progress: &Progress,
+    ) -> Result<Call<Admitted>, NotRun> {
+        let mut waiting = self.admission.enter(call.worth(), call.deadline());
+        let verdict = loop {
+            tokio::select! {
+                biased;
+                verdict = &mut waiting => break verdict,
+                () = progress.recall.notified() => {
+                    if waiting.recall() {
+                        self.observer.event(Event::Recalled);
+                        break Err(Reason::Recalled);
+                    }
+                }
+            }
+        };
+        match verdict {
+            Ok(permit) => Ok(call.admit(permit)),
+            Err(reason) => Err(call.refuse(reason)),
+        }
+    }
+
+    /// The plan may have changed while the call was queued.
+    fn rule_after_queue(&self, job: &Job, rule: Rule) -> Result<Rule, Reason> {
+        if self.plan() == rule.version {
+            return Ok(rule);
+        }
+        self.rule(job)
+    }
+
+    fn rule(&self, job: &Job) -> Result<Rule, Reason> {
+        let situation = self.situations.situation();
+        let plan = &situation.plan;
+        if plan.version == Version::default() {
+            return Err(Reason::NoPlan);
+        }
+        self.rule_by(plan, job).map_err(|reason| {
+            let stale = job.plan < plan.version && reason != Reason::Malformed;
+            if stale { Reason::StalePlan } else { reason }
+        })
+    }
+
+    fn rule_by(&self, plan: &Plan, job: &Job) -> Result<Rule, Reason> {
+        if job.service != self.service {
+            return Err(Reason::NoBackendServer);
+        }
+        let service = plan.service_names.get(&job.service);
+        let &service = service.ok_or(Reason::UnknownService)?;
+        let route = plan.find_route(service, &job.method, job.path.path());
+        let key = route.ok_or(Reason::UnknownRoute)?;
+        let tenant = find_tenant(plan, &job.context)?;
+        let home = plan.home_regions(key, tenant);
+        let allowed = home.intersection(job.context.allowed(plan));
+        if !contains_region(plan, allowed, &self.place.region) {
+            return Err(Reason::Region);
+        }
+        let route = plan.route(key);
+        Ok(Rule {
+            version: plan.version,
+            worth: route.worth,
+            deadline: route.deadline,
+            idempotent: route.is_idempotent(&job.method),
+            regions: region_names(plan, allowed),
+        })
+    }
+
+    async fn run(
+        &self,
+        call: Call<Admitted>,
+        job: Job,
+        rule: &Rule,
+        body: impl FnOnce() -> Body + Send,
+    ) -> Outcome {
+        let time_left = call.deadline().since(self.clock.now());
+        if time_left < Duration::from_millis(1) {
+            return self.refuse(call.refuse(Reason::Deadline));
+        }
+        let connected = timeout(time_left, self.client.connect(!rule.idempotent)).await;
+        let Ok(Ok(connection)) = connected else {
+            return self.refuse(call.unreachable());
+        };
+        let now = self.clock.now();
+        let time_left = call.deadline().since(now);
+        let Some(request) = self.request(job, rule, time_left) else {
+            return self.refuse(call.refuse(Reason::Malformed));
+        };
+        let call = call.dispatch(now);
+        self.dispatch(call, connection, request.map(|()| body()), time_left)
+            .await
+    }
+
+    fn request(&self, job: Job, rule: &Rule, time_left: Duration) -> Option<Request<()>> {
+        let mut request = Request::new(());
+        *request.method_mut() = job.method;
+        *request.uri_mut() = Uri::from(job.path);
+        *request.version_mut() = HttpVersion::HTTP_11;
+        *request.headers_mut() = job.headers;
+        let context = Context {
+            regions: rule.regions.clone(),
+            ..job.context
+        };
+        context.write(request.headers_mut(), time_left);
+        job.trace.child(&self.ids).write(request.headers_mut());
+        Some(request)
+    }
+
+    async fn dispatch(
+        &self,
+        call: Call<Dispatched>,
+        connection: Box<dyn Connection>,
+        request: Request<Body>,
+        time_left: Duration,
+    ) -> Outcome {
+        let sent = timeout(time_left, connection.send(request)).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(Failure::Unsent(proof))) => return self.refuse(call.unsent(proof)),
+            Ok(Err(Failure::Broken)) => return self.lose(call, Loss::BackendServer),
+            Err(_) => return self.lose(call, Loss::Deadline),
+        };
+        let (mut head, body) = response.into_parts();
+        self.read_signs(&head.headers);
+        if let Some(proof) = Shed::in_head(&head) {
+            return self.refuse(call.shed(proof));
+        }
+        let call = call.answer(self.clock.now());
+        let service_time = call.service_time();
+        self.observer.event(Event::Answered { service_time });
+        crate::entry::hop::strip(&mut head.headers);
+        let body = Tracked::new(body, call).boxed_unsync();
+        Outcome::Answered(Response::from_parts(head, body))
+    }
+
+    fn lose(&self, call: Call<Dispatched>, loss: Loss) -> Outcome {
+        self.observer.event(Event::Lost(loss));
+        Outcome::Unknown(call.lose(loss))
+    }
+
+    fn read_signs(&self, headers: &HeaderMap) {
+        if let Some(boot) = headers.get(headers::BACKEND_BOOT) {
+            self.admission.sign(Sign::Boot(xxh3_64(boot.as_bytes())));
+        }
+        let state = headers.get(headers::BACKEND_STATE);
+        if let Some(sign) = state.and_then(|state| state_sign(state.as_bytes())) {
+            self.admission.sign(sign);
+        }
+    }
+}
+
+/// The sign in a backend server's word for its own state.
+pub(super) fn state_sign(word: &[u8]) -> Option<Sign> {
+    match word {
+        b"cold" => Some(Sign::Cold),
+        b"serving" => Some(Sign::Serving),
+        b"draining" => Some(Sign::Draining),
+        _ => None,
+    }
+}
+
+/// The tenant that a call names.
+///
+/// # Errors
+///
+/// Refuses a name that the plan does not know, since its regions are unknown.
+pub(crate) fn find_tenant(plan: &Plan, context: &Context) -> Result<Option<key::Tenant>, Reason> {
+    let Some(name) = &context.tenant else {
+        return Ok(None);
+    };
+    let tenant = plan.tenant_names.get(name);
+    tenant.copied().map(Some).ok_or(Reason::UnknownTenant)
+}
+
+/// Whether `allowed` holds the region of that name.
+pub(crate) fn contains_region(plan: &Plan, allowed: Regions, name: &str) -> bool {
+    match plan.region_names.get(name) {
+        Some(&region) => allowed.contains(region),
+        None => allowed == Regions::ALL,
+    }
+}
--- /dev/null
+++ b/src/call/admission.rs
@@ -0,0 +1,307 @@
+//! Asynchronous face of the gate.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::{Clock, Time};
+use crate::gate::{Action, Arrival, Gate, Load, Outcome, Settings, Sign, State, Ticket};
+
+use super::Reason;
+
+type Verdict = Result<(), Reason>;
+
+/// Longest sleep between two ticks of the gate.
+const IDLE_TICK: Duration = Duration::from_secs(1);
+
+/// Admission to this node's own backend server.
+pub struct Admission {
+    inner: Mutex<Inner>,
+    clock: Clock,
+    rescheduled: Notify,
+}
+
+struct Inner {
+    gate: Gate,
+    waiting: BTreeMap<u64, oneshot::Sender<Verdict>>,
+    next_ticket: u64,
+    actions: Vec<Action>,
+}
+
+impl fmt::Debug for Admission {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Admission").finish_non_exhaustive()
+    }
+}
+
+impl Admission {
+    /// Puts `gate` to work.
+    #[must_use]
+    pub fn new(gate: Gate, clock: Clock) -> Arc<Self> {
+        Arc::new(Self {
+            inner: Mutex::new(Inner {
+                gate,
+                waiting: BTreeMap::new(),
+                next_ticket: 0,
+                actions: Vec::new(),
+            }),
+            clock,
+            rescheduled: Notify::new(),
+        })
+    }
+
+    /// Asks for admission and waits for the verdict.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason of the refusal.
+    pub async fn arrive(self: &Arc<Self>, worth: u32, deadline: Time) -> Result<Permit, Reason> {
+        self.enter(worth, deadline).await
+    }
+
+    /// Asks for admission. Dropping what is returned withdraws the call.
+    pub fn enter(self: &Arc<Self>, worth: u32, deadline: Time) -> Waiting {
+        let (sender, receiver) = oneshot::channel();
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let ticket = inner.issue();
+        inner.waiting.insert(ticket.0, sender);
+        let arrival = Arrival {
+            ticket,
+            worth,
+            deadline,
+        };
+        inner.run(|gate, actions| gate.arrive(now, arrival, actions));
+        drop(inner);
+        self.rescheduled.notify_one();
+        Waiting {
+            permit: Some(Permit {
+                admission: Arc::clone(self),
+                ticket,
+                ended: false,
+            }),
+            verdict: receiver,
+        }
+    }
+
+    /// Takes in a sign of the backend server's condition.
+    pub fn sign(&self, sign: Sign) {
+        self.update(|gate, now, actions| gate.sign(now, sign, actions));
+    }
+
+    /// Puts new settings in force.
+    pub fn configure(&self, settings: Settings) {
+        self.update(|gate, now, actions| gate.configure(now, settings, actions));
+    }
+
+    /// Takes note whether the availability zone takes new work.
+    pub fn set_zone(&self, in_service: bool) {
+        self.update(|gate, now, actions| gate.set_zone(now, in_service, actions));
+    }
+
+    /// Takes no new work from now on.
+    pub fn drain(&self) {
+        self.update(|gate, now, actions| gate.drain(now, actions));
+    }
+
+    /// What entries are told.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let now = self.clock.now();
+        self.lock().gate.load(now)
+    }
+
+    /// Where the backend server stands in its life cycle.
+    #[must_use]
+    pub fn state(&self) -> State {
+        self.lock().gate.state()
+    }
+
+    /// Calls running.
+    #[must_use]
+    pub fn in_hand(&self) -> u32 {
+        self.lock().gate.in_hand()
+    }
+
+    /// Calls waiting.
+    #[must_use]
+    pub fn queued(&self) -> u32 {
+        self.lock().gate.queued()
+    }
+
+    /// Calls admitted at the same time.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.lock().gate.limit()
+    }
+
+    /// Ticks the gate whenever it asks for it, until `shutdown`.
+    pub async fn run(self: Arc<Self>, shutdown: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = shutdown.cancelled() => return,
+                () = self.rescheduled.notified() => {}
+                () = tokio::time::sleep(self.until_tick()) => {
+                    self.update(|gate, now, actions| gate.tick(now, actions));
+                }
+            }
+        }
+    }
+
+    fn until_tick(&self) -> Duration {
+        let due = self.lock().gate.next_tick();
+        due.map_or(IDLE_TICK, |due| due.since(self.clock.now()).min(IDLE_TICK))
+    }
+
+    fn update(&self, step: impl FnOnce(&mut Gate, Time, &mut Vec<Action>)) {
+        let now = self.clock.now();
+        self.lock().run(|gate, actions| step(gate, now, actions));
+    }
+
+    fn end(&self, ticket: Ticket, outcome: Outcome) {
+        self.update(|gate, now, actions| gate.finish(now, ticket, outcome, actions));
+    }
+
+    fn recall(&self, ticket: Ticket) -> bool {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let recalled = inner.gate.recall(now, ticket);
+        if recalled {
+            inner.waiting.remove(&ticket.0);
+        }
+        recalled
+    }
+
+    /// The gate is valid after every step, so a panic elsewhere leaves it whole.
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn issue(&mut self) -> Ticket {
+        self.next_ticket += 1;
+        Ticket(self.next_ticket)
+    }
+
+    fn run(&mut self, step: impl FnOnce(&mut Gate, &mut Vec<Action>)) {
+        let mut actions = std::mem::take(&mut self.actions);
+        step(&mut self.gate, &mut actions);
+        for action in actions.drain(..) {
+            self.apply(&action);
+        }
+        self.actions = actions;
+    }
+
+    /// A verdict without a receiver is dropped: its permit ends the call.
+    fn apply(&mut self, action: &Action) {
+        let (ticket, verdict) = match action {
+            Action::Admit(ticket) => (ticket, Ok(())),
+            Action::Refuse(ticket, reason) => (ticket, Err(*reason)),
+        };
+        if let Some(waiting) = self.waiting.remove(&ticket.0) {
+            let _ = waiting.send(verdict);
+        }
+    }
+}
+
+/// A call that waits for the gate's verdict.
+#[derive(Debug)]
+pub struct Waiting {
+    permit: Option<Permit>,
+    verdict: oneshot::Receiver<Verdict>,
+}
+
+impl Waiting {
+    /// Withdraws the call if it is still queued. Tells whether it was.
+    pub fn recall(&mut self) -> bool {
+        let recalled = self
+            .permit
+            .as_ref()
+            .is_some_and(|permit| permit.admission.recall(permit.ticket));
+        if recalled && let Some(mut permit) = self.permit.take() {
+            permit.ended = true;
+        }
+        recalled
+    }
+}
+
+impl Future for Waiting {
+    type Output = Result<Permit, Reason>;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        let received = std::task::ready!(Pin::new(&mut self.verdict).poll(context));
+        let verdict = received.unwrap_or(Err(Reason::Recalled));
+        let Some(mut permit) = self.permit.take() else {
+            return Poll::Ready(Err(Reason::Recalled));
+        };
+        Poll::Ready(match verdict {
+            Ok(()) => Ok(permit),
+            Err(reason) => {
+                permit.ended = true;
+                Err(reason)
+            }
+        })
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.recall();
+    }
+}
+
+/// The right to one running call; ends it exactly once.
+#[derive(Debug)]
+pub struct Permit {
+    admission: Arc<Admission>,
+    ticket: Ticket,
+    ended: bool,
+}
+
+impl Permit {
+    /// The answer is whole.
+    pub fn answered(self, service_time: Duration) {
+        self.end(Outcome::Answered { service_time });
+    }
+
+    /// The outcome is unknown or the answer broke off.
+    pub fn fail(self) {
+        self.end(Outcome::Failed);
+    }
+
+    /// The backend server refused the call.
+    pub fn shed(self) {
+        self.end(Outcome::Shed);
+    }
+
+    /// The backend server took no connection.
+    pub fn unreachable(self) {
+        self.end(Outcome::Unreachable);
+    }
+
+    /// The call was withdrawn.
+    pub fn cancel(self) {
+        self.end(Outcome::Cancelled);
+    }
+
+    fn end(mut self, outcome: Outcome) {
+        self.ended = true;
+        self.admission.end(self.ticket, outcome);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.admission.end(self.ticket, Outcome::Cancelled);
+        }
+    }
+}
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -1,5 +1,35 @@
 //! The life cycle of one call.
+//!
+//! [`Call`] is a typestate: `Received`, `Routed`, `Admitted`, `Dispatched`,
+//! `Answered`. A [`NotRun`] can be made from the first three only, because the
+//! step to `Dispatched` is taken before the first byte can reach the backend
+//! server. After it, a [`NotRun`] needs a proof: either the request came back
+//! unsent ([`Unsent`]) or the backend server itself said so ([`Shed`]).
+//! Everything else is [`Unknown`].
+//!
+//! [`Admission`] is the asynchronous face of the pure [`gate::Gate`]: an
+//! arrival gives a [`Permit`] that ends exactly once.
+//!
+//! [`gate::Gate`]: crate::gate::Gate
 
+mod admission;
+mod body;
+mod context;
+mod cycle;
+mod observer;
 mod refusal;
+mod situations;
+#[cfg(test)]
+mod tests;
+mod trace;
 
+pub use admission::{Admission, Permit, Waiting};
+pub use body::{Body, Cut};
+pub use context::{Context, MAX_HOPS, region_names};
+pub use cycle::{
+    Admitted, Answered, Call, Dispatched, Loss, NotRun, Received, Routed, Shed, Unknown, Unsent,
+};
+pub use observer::{Duty, End, Event, Ignore, Observer, Span};
 pub use refusal::Reason;
+pub use situations::{Situations, Snapshot};
+pub use trace::{Ids, Trace};
--- /dev/null
+++ b/src/call/observer.rs
@@ -0,0 +1,111 @@
+//! What the data path tells metrics and traces.
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+use super::{Loss, Reason, Trace};
+
+/// Part that a node plays in a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Duty {
+    /// Took the call from a caller.
+    Entry,
+    /// Sent the call to one backend server.
+    Attempt,
+    /// Admitted the call to its own backend server.
+    Gate,
+}
+
+/// How a span ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The backend server answered.
+    Answered(StatusCode),
+    /// Refused before it ran.
+    NotRun(Reason),
+    /// It may have run.
+    Unknown(Loss),
+    /// The caller went away.
+    Cancelled,
+}
+
+/// One hop of one call, told when it has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Span<'a> {
+    /// Place in the trace.
+    pub trace: Trace,
+    /// Part played.
+    pub duty: Duty,
+    /// Service asked for.
+    pub service: &'a str,
+    /// Name of the route; empty when none matched.
+    pub route: &'a str,
+    /// Time from the first header to the answer's head.
+    pub elapsed: Duration,
+    /// How it ended.
+    pub end: End,
+}
+
+/// Something to count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A caller's connection was accepted.
+    Connected,
+    /// A caller's connection was refused or cut for what it sent.
+    Rejected,
+    /// A caller's request arrived.
+    Received,
+    /// A backend server was chosen.
+    Routed {
+        /// Whether it is this node's own.
+        local: bool,
+    },
+    /// An attempt is followed by another.
+    Retried,
+    /// A queued call is to be withdrawn.
+    Recalled,
+    /// The gate let a call through.
+    Admitted {
+        /// Time at the gate.
+        queue_time: Duration,
+    },
+    /// The backend server sent the head of its answer.
+    Answered {
+        /// Time in the backend server.
+        service_time: Duration,
+    },
+    /// A call was refused as not run.
+    Refused(Reason),
+    /// The outcome of a call is unknown.
+    Lost(Loss),
+    /// A caller went away before its answer was whole.
+    Cancelled,
+    /// An answer was cut after its head.
+    Cut,
+    /// A frame came late, doubled or out of order and was dropped.
+    FrameDropped,
+    /// A link was closed because of what the other side sent.
+    LinkRejected,
+    /// A link was opened.
+    LinkOpened,
+}
+
+/// Receives events and spans. Must not block.
+pub trait Observer: Send + Sync + 'static {
+    /// Counts something.
+    fn event(&self, event: Event);
+
+    /// Records a finished hop. Never called for calls outside their home regions.
+    fn span(&self, span: &Span<'_>);
+}
+
+/// Keeps nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ignore;
+
+impl Observer for Ignore {
+    fn event(&self, _event: Event) {}
+
+    fn span(&self, _span: &Span<'_>) {}
+}
--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -45,6 +45,48 @@
 }
 
 impl Reason {
+    /// Every reason.
+    pub const ALL: [Self; 17] = [
+        Self::Overloaded,
+        Self::Deadline,
+        Self::ZoneOut,
+        Self::Draining,
+        Self::StalePlan,
+        Self::Region,
+        Self::Unreachable,
+        Self::Shed,
+        Self::Recalled,
+        Self::NoBackendServer,
+        Self::UnknownService,
+        Self::UnknownRoute,
+        Self::UnknownTenant,
+        Self::TooManyHops,
+        Self::Malformed,
+        Self::NoPlan,
+        Self::Duplicate,
+    ];
+
+    /// The reason with this number on the wire.
+    #[must_use]
+    pub fn from_number(number: u8) -> Option<Self> {
+        Self::ALL.into_iter().find(|reason| *reason as u8 == number)
+    }
+
+    /// Whether another backend server may take the call.
+    #[must_use]
+    pub const fn is_local(self) -> bool {
+        matches!(
+            self,
+            Self::Overloaded
+                | Self::ZoneOut
+                | Self::Draining
+                | Self::StalePlan
+                | Self::Unreachable
+                | Self::Shed
+                | Self::Recalled
+                | Self::NoPlan
+        )
+    }
     /// Name used in headers, metrics and refusal bodies.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- /dev/null
+++ b/src/call/trace.rs
@@ -0,0 +1,113 @@
+//! W3C trace context.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
+const SAMPLED: u8 = 1;
+const TRACEPARENT_LENGTH: usize = 55;
+
+/// Source of ids that are unique with overwhelming probability.
+#[derive(Debug)]
+pub struct Ids {
+    seed: u64,
+    next: AtomicU64,
+}
+
+impl Ids {
+    /// Ids drawn from `seed`.
+    #[must_use]
+    pub const fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            next: AtomicU64::new(1),
+        }
+    }
+
+    /// A fresh id, never zero.
+    pub fn next(&self) -> u64 {
+        let count = self.next.fetch_add(1, Ordering::Relaxed);
+        xxh3_64_with_seed(&count.to_le_bytes(), self.seed).max(1)
+    }
+}
+
+/// Place of one span within a trace.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Trace {
+    /// Shared by all spans of the trace.
+    pub id: u128,
+    /// Span that caused this one; zero at the root.
+    pub parent: u64,
+    /// This span.
+    pub span: u64,
+    /// Whether an earlier hop keeps the trace.
+    pub sampled: bool,
+}
+
+impl Trace {
+    /// Continues the trace named in `headers`, or starts one.
+    #[must_use]
+    pub fn receive(headers: &HeaderMap, ids: &Ids) -> Self {
+        let span = ids.next();
+        let parsed = headers
+            .get(TRACEPARENT)
+            .and_then(|value| parse(value.as_bytes()));
+        match parsed {
+            Some(parent) => Self { span, ..parent },
+            None => Self {
+                id: u128::from(ids.next()) << 64 | u128::from(ids.next()),
+                parent: 0,
+                span,
+                sampled: false,
+            },
+        }
+    }
+
+    /// A span caused by this one.
+    #[must_use]
+    pub fn child(self, ids: &Ids) -> Self {
+        Self {
+            parent: self.span,
+            span: ids.next(),
+            ..self
+        }
+    }
+
+    /// Names this span as the cause of what the receiver does.
+    pub fn write(self, headers: &mut HeaderMap) {
+        let text = format!(
+            "00-{:032x}-{:016x}-{:02x}",
+            self.id,
+            self.span,
+            u8::from(self.sampled)
+        );
+        if let Ok(value) = HeaderValue::try_from(text) {
+            headers.insert(TRACEPARENT, value);
+        }
+    }
+}
+
+/// Accepts version 00 only, in lower case, as the recommendation demands.
+fn parse(value: &[u8]) -> Option<Trace> {
+    let text = std::str::from_utf8(value).ok()?;
+    if text.len() != TRACEPARENT_LENGTH || !text.starts_with("00-") {
+        return None;
+    }
+    let id = hex(text.get(3..35)?)?;
+    let parent = u64::try_from(hex(text.get(36..52)?)?).ok()?;
+    let flags = u8::try_from(hex(text.get(53..55)?)?).ok()?;
+    let dashed = [35, 52].iter().all(|&at| value[at] == b'-');
+    (dashed && id != 0 && parent != 0).then_some(Trace {
+        id,
+        parent,
+        span: 0,
+        sampled: flags & SAMPLED != 0,
+    })
+}
+
+fn hex(text: &str) -> Option<u128> {
+    let lower = text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    lower.then(|| u128::from_str_radix(text, 16).ok())?
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,48 @@
+//! Links that carry calls between nodes: frames of [`wire`] on streams of h2.
+//!
+//! A link is one connection per peer, kept open. A call is one stream. Flow
+//! control of the stream reaches from the caller to the backend server: a chunk
+//! is read from one side only when the other has taken the one before.
+//!
+//! ```no_run
+//! # async fn sketch(executor: std::sync::Arc<monsooncove::backend::Executor>) -> std::io::Result<()> {
+//! use std::sync::Arc;
+//!
+//! use monsooncove::peer::{self, Links};
+//! use tokio::net::TcpListener;
+//! use tokio_util::sync::CancellationToken;
+//!
+//! let shutdown = CancellationToken::new();
+//! let listener = TcpListener::bind("127.0.0.1:0").await?;
+//! let settings = peer::Settings::default();
+//!
+//! // Serves calls from other nodes until `shutdown`, then finishes what runs.
+//! let server = tokio::spawn(peer::serve(listener, executor, settings, shutdown.clone()));
+//!
+//! // Links to other nodes; given to `entry::Parts`.
+//! let links = Links::new(settings, Arc::new(monsooncove::call::Ignore));
+//! # drop(links);
+//!
+//! shutdown.cancel();
+//! server.await?;
+//! # Ok(())
+//! # }
+//! ```
+
+mod answer;
+mod inbound;
+mod links;
+mod outbound;
+mod server;
+mod settings;
+mod stream;
+#[cfg(test)]
+mod tests;
+mod upload;
+pub mod wire;
+
+pub use answer::Answer;
+pub use links::{Down, LinkDown, Links, Stream};
+pub use server::serve;
+pub use settings::Settings;
+pub use upload::Upload;
--- /dev/null
+++ b/src/peer/wire/encoder.rs
@@ -0,0 +1,76 @@
+//! Writes frames.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use serde::Serialize;
+
+use super::{HEADER_BYTES, MAX_MESSAGE_BYTES, Malformed, VERSION, kind};
+
+/// Collects frames that go out together.
+#[derive(Debug, Default)]
+pub struct Encoder {
+    buffer: BytesMut,
+}
+
+impl Encoder {
+    /// An encoder with room for `bytes`.
+    #[must_use]
+    pub fn with_capacity(bytes: usize) -> Self {
+        Self {
+            buffer: BytesMut::with_capacity(bytes),
+        }
+    }
+
+    /// Adds a frame with a message.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the message is longer than a frame may be.
+    pub fn message<M: Serialize>(&mut self, kind: u8, message: &M) -> Result<(), Malformed> {
+        let start = self.buffer.len();
+        self.header(kind, 0);
+        let mut writer = (&mut self.buffer).writer();
+        bincode::serde::encode_into_std_write(message, &mut writer, bincode::config::standard())
+            .map_err(|_| Malformed::Message { kind })?;
+        let payload = self.buffer.len() - start - HEADER_BYTES;
+        if payload > MAX_MESSAGE_BYTES {
+            self.buffer.truncate(start);
+            return Err(Malformed::TooLong { bytes: payload });
+        }
+        let length = u32::try_from(payload).unwrap_or(u32::MAX);
+        self.buffer[start..start + 4].copy_from_slice(&length.to_be_bytes());
+        Ok(())
+    }
+
+    /// Adds a frame without payload.
+    pub fn bare(&mut self, kind: u8) {
+        self.header(kind, 0);
+    }
+
+    /// Adds a part of a body, copied.
+    pub fn body(&mut self, part: &[u8]) {
+        self.body_header(part.len());
+        self.buffer.extend_from_slice(part);
+    }
+
+    /// Adds the header of a part of a body that follows by itself.
+    pub fn body_header(&mut self, bytes: usize) {
+        self.header(kind::BODY, u32::try_from(bytes).unwrap_or(u32::MAX));
+    }
+
+    /// Whether nothing was added.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Takes what was added.
+    pub fn take(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+
+    fn header(&mut self, kind: u8, bytes: u32) {
+        self.buffer.put_u32(bytes);
+        self.buffer.put_u8(VERSION);
+        self.buffer.put_u8(kind);
+    }
+}
--- /dev/null
+++ b/src/peer/wire/message.rs
@@ -0,0 +1,136 @@
+//! Messages and their counted fields.
+
+use std::fmt;
+use std::time::Duration;
+
+use http::{HeaderMap, Method, StatusCode};
+use serde::de::{Deserialize, Deserializer, SeqAccess, Visitor};
+use serde::ser::{Serialize, SerializeSeq, Serializer};
+
+use crate::call::{Loss, Reason};
+use crate::gate::Load;
+use crate::plan::Version;
+
+use super::field::{In, Out};
+
+/// Head of a request on its way to a gate.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Open {
+    /// Chosen by the entry, repeated in the answer.
+    pub call: u64,
+    /// Plan by which the entry chose.
+    pub plan: Version,
+    /// Service asked for.
+    pub service: String,
+    /// Tenant on whose behalf; empty for none.
+    pub tenant: String,
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Time left when it was sent.
+    pub time_left: Duration,
+    /// Nodes entered so far.
+    pub hops: u32,
+    /// Regions the call must stay in; empty for any.
+    pub regions: Vec<String>,
+    /// Whether no body follows.
+    pub bodiless: bool,
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Head {
+    /// Call that is answered.
+    pub call: u64,
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Load of the backend server.
+    pub load: Load,
+}
+
+/// The call was not run.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Refused {
+    /// Call that is refused.
+    pub call: u64,
+    /// Why; none when the sender's reason is unknown to this version.
+    pub reason: Option<Reason>,
+    /// Load of the backend server.
+    pub load: Load,
+    /// Plan by which the gate refused.
+    pub plan: Version,
+}
+
+/// The outcome is unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Failed {
+    /// Call that failed.
+    pub call: u64,
+    /// How the outcome was lost.
+    pub loss: Option<Loss>,
+    /// Load of the backend server.
+    pub load: Load,
+}
+
+/// Trailers of a body.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Trailers {
+    /// The fields.
+    pub headers: HeaderMap,
+}
+
+/// Writes a message as a counted list and reads it back by a visitor that
+/// defaults what is missing.
+macro_rules! counted {
+    ($message:ident, $count:literal: $($field:ident),+) => {
+        impl Serialize for $message {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                let mut fields = serializer.serialize_seq(Some($count))?;
+                $(fields.serialize_element(&Out(&self.$field))?;)+
+                fields.end()
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $message {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                struct Fields;
+
+                impl<'de> Visitor<'de> for Fields {
+                    type Value = $message;
+
+                    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                        f.write_str(concat!("the fields of ", stringify!($message)))
+                    }
+
+                    fn visit_seq<A: SeqAccess<'de>>(
+                        self,
+                        mut fields: A,
+                    ) -> Result<Self::Value, A::Error> {
+                        let mut message = $message::default();
+                        $(
+                            match fields.next_element()? {
+                                Some(In(value)) => message.$field = value,
+                                None => return Ok(message),
+                            }
+                        )+
+                        Ok(message)
+                    }
+                }
+
+                deserializer.deserialize_seq(Fields)
+            }
+        }
+    };
+}
+
+counted!(Open, 11: call, plan, service, tenant, method, path, headers, time_left, hops,
+    regions, bodiless);
+counted!(Head, 4: call, status, headers, load);
+counted!(Refused, 4: call, reason, load, plan);
+counted!(Failed, 3: call, loss, load);
+counted!(Trailers, 1: headers);
