--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -28,8 +28,7 @@
 pub trait Client: Send + Sync + 'static {
     /// A connection that is ready for one request. A `fresh` one has not been
     /// idle for so long that the backend server may be closing it.
-    fn connect(&self, fresh: bool)
-    -> BoxFuture<'_, Result<Box<dyn Connection>, Unreachable>>;
+    fn connect(&self, fresh: bool) -> BoxFuture<'_, Result<Box<dyn Connection>, Unreachable>>;
 }
 
 /// A connection that is ready for one request.
--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::call::hop;
 use crate::call::{
     Admission, Admitted, Body, Call, Context, Dispatched, Event, Ids, Loss, NotRun, Observer,
     Reason, Routed, Shed, Situations, Trace, Unknown, region_names,
@@ -235,15 +236,13 @@
         };
         let now = self.clock.now();
         let time_left = call.deadline().since(now);
-        let Some(request) = self.request(job, rule, time_left) else {
-            return self.refuse(call.refuse(Reason::Malformed));
-        };
+        let request = self.request(job, rule, time_left);
         let call = call.dispatch(now);
         self.dispatch(call, connection, request.map(|()| body()), time_left)
             .await
     }
 
-    fn request(&self, job: Job, rule: &Rule, time_left: Duration) -> Option<Request<()>> {
+    fn request(&self, job: Job, rule: &Rule, time_left: Duration) -> Request<()> {
         let mut request = Request::new(());
         *request.method_mut() = job.method;
         *request.uri_mut() = Uri::from(job.path);
@@ -255,7 +254,7 @@
         };
         context.write(request.headers_mut(), time_left);
         job.trace.child(&self.ids).write(request.headers_mut());
-        Some(request)
+        request
     }
 
     async fn dispatch(
@@ -280,7 +279,7 @@
         let call = call.answer(self.clock.now());
         let service_time = call.service_time();
         self.observer.event(Event::Answered { service_time });
-        crate::entry::hop::strip(&mut head.headers);
+        hop::strip(&mut head.headers);
         let body = Tracked::new(body, call).boxed_unsync();
         Outcome::Answered(Response::from_parts(head, body))
     }
--- a/src/backend/http.rs
+++ b/src/backend/http.rs
@@ -89,25 +89,21 @@
 }
 
 impl Client for Http {
-    fn connect(
-        &self,
-        fresh: bool,
-    ) -> BoxFuture<'_, Result<Box<dyn Connection>, Unreachable>> {
+    fn connect(&self, fresh: bool) -> BoxFuture<'_, Result<Box<dyn Connection>, Unreachable>> {
         self.lease(fresh).boxed()
     }
 }
 
-async fn open(
-    address: SocketAddr,
-    settings: Settings,
-) -> Result<SendRequest<Body>, Unreachable> {
+async fn open(address: SocketAddr, settings: Settings) -> Result<SendRequest<Body>, Unreachable> {
     let connected = timeout(settings.connect_timeout, TcpStream::connect(address)).await;
     let stream = match connected {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(unreachable(&error)),
         Err(elapsed) => return Err(unreachable(&elapsed)),
     };
-    stream.set_nodelay(true).map_err(|error| unreachable(&error))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| unreachable(&error))?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(settings.max_head_bytes)
         .handshake(TokioIo::new(stream))
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -9,11 +9,10 @@
 mod executor;
 mod http;
 mod pool;
-#[cfg(test)]
-mod tests;
 mod watch;
 
 pub use client::{Client, Connection, Failure, Unreachable};
 pub use executor::{Executor, Job, Outcome, Progress};
+pub(crate) use executor::{contains_region, find_tenant};
 pub use http::{Http, Settings};
 pub use watch::{Watch, watch};
--- a/src/backend/watch.rs
+++ b/src/backend/watch.rs
@@ -40,8 +40,7 @@
     }
 }
 
-#[derive(Debug)]
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize)]
 struct Report {
     state: String,
     #[serde(default)]
--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -108,7 +108,7 @@
 
     /// Takes no new work from now on.
     pub fn drain(&self) {
-        self.update(|gate, now, actions| gate.drain(now, actions));
+        self.update(Gate::drain);
     }
 
     /// What entries are told.
@@ -149,7 +149,7 @@
                 () = shutdown.cancelled() => return,
                 () = self.rescheduled.notified() => {}
                 () = tokio::time::sleep(self.until_tick()) => {
-                    self.update(|gate, now, actions| gate.tick(now, actions));
+                    self.update(Gate::tick);
                 }
             }
         }
--- a/src/call/context.rs
+++ b/src/call/context.rs
@@ -97,7 +97,10 @@
 }
 
 fn split(names: &str) -> Vec<String> {
-    names.split(',').map(|name| name.trim().to_owned()).collect()
+    names
+        .split(',')
+        .map(|name| name.trim().to_owned())
+        .collect()
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Reason> {
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -16,11 +16,10 @@
 mod body;
 mod context;
 mod cycle;
+pub(crate) mod hop;
 mod observer;
 mod refusal;
 mod situations;
-#[cfg(test)]
-mod tests;
 mod trace;
 
 pub use admission::{Admission, Permit, Waiting};
--- a/src/call/trace.rs
+++ b/src/call/trace.rs
@@ -108,6 +108,8 @@
 }
 
 fn hex(text: &str) -> Option<u128> {
-    let lower = text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    let lower = text
+        .bytes()
+        .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
     lower.then(|| u128::from_str_radix(text, 16).ok())?
 }
--- /dev/null
+++ b/src/entry/answer.rs
@@ -0,0 +1,122 @@
+//! Body of an answer on its way to the caller.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use tokio::time::{Sleep, sleep};
+
+use crate::call::{Body, Cut, Event, Observer};
+use crate::clock::{Clock, Time};
+use crate::routing::{self, Router, key};
+
+/// Passes on a body until the deadline and tells the router how it ended.
+pub(super) struct Tracked {
+    body: Body,
+    deadline: Pin<Box<Sleep>>,
+    router: Arc<Mutex<Router>>,
+    observer: Arc<dyn Observer>,
+    clock: Clock,
+    backend: key::Backend,
+    started: Time,
+    bytes: u64,
+    ended: bool,
+}
+
+impl Tracked {
+    pub(super) fn new(
+        body: Body,
+        router: Arc<Mutex<Router>>,
+        observer: Arc<dyn Observer>,
+        clock: Clock,
+        backend: key::Backend,
+        deadline: Time,
+    ) -> Self {
+        let started = clock.now();
+        let mut tracked = Self {
+            body,
+            deadline: Box::pin(sleep(deadline.since(started))),
+            router,
+            observer,
+            clock,
+            backend,
+            started,
+            bytes: 0,
+            ended: false,
+        };
+        if tracked.body.is_end_stream() {
+            tracked.whole();
+        }
+        tracked
+    }
+
+    fn whole(&mut self) {
+        let elapsed = self.clock.now().since(self.started);
+        let bytes = self.bytes;
+        self.end(&routing::Event::Answered { elapsed, bytes });
+    }
+
+    fn cut(&mut self) {
+        self.observer.event(Event::Cut);
+        self.end(&routing::Event::Failed);
+    }
+
+    fn end(&mut self, event: &routing::Event) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let now = self.clock.now();
+        let router = self.router.lock();
+        let mut router = router.unwrap_or_else(PoisonError::into_inner);
+        router.observe(now, self.backend, event);
+    }
+}
+
+impl HttpBody for Tracked {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let frame = match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending => {
+                std::task::ready!(self.deadline.as_mut().poll(context));
+                Some(Err(Cut::Deadline))
+            }
+        };
+        match &frame {
+            Some(Ok(frame)) => {
+                self.bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
+                if self.body.is_end_stream() {
+                    self.whole();
+                }
+            }
+            Some(Err(_)) => self.cut(),
+            None => self.whole(),
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.observer.event(Event::Cancelled);
+            self.end(&routing::Event::Abandoned);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/attempt.rs
@@ -0,0 +1,234 @@
+//! One attempt at one backend server, over a link or beside this node.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use http::{HeaderMap, Response};
+use http_body_util::BodyExt;
+use tokio::time::sleep;
+
+use crate::backend::{Job, Outcome, Progress};
+use crate::call::{Body, NotRun, Unknown};
+use crate::clock::Time;
+use crate::gate::Load;
+use crate::peer::wire::{Head, Open};
+use crate::peer::{self, Reply, Terms, Upload};
+use crate::routing::{self, Choice};
+
+use super::Entry;
+use super::answer::Tracked;
+use super::request::Routable;
+
+/// What became of an attempt; what was to be sent, if it still can be.
+pub(super) enum Attempted {
+    Answered(Response<Body>),
+    NotRun(NotRun, Option<Upload>),
+    Unknown(Unknown, Option<Upload>),
+}
+
+impl Entry {
+    pub(super) async fn attempt(
+        &self,
+        routable: &Routable,
+        choice: &Choice,
+        upload: Upload,
+        time_left: Duration,
+    ) -> Attempted {
+        let ending = InFlight::new(self, choice, time_left);
+        let trace = routable.trace.child(&self.parts.ids);
+        let mut headers = routable.headers.clone();
+        trace.write(&mut headers);
+        if choice.local {
+            self.beside(routable, choice, upload, time_left, headers, ending)
+                .await
+        } else {
+            self.over_link(routable, choice, upload, time_left, headers, ending)
+                .await
+        }
+    }
+
+    async fn beside(
+        &self,
+        routable: &Routable,
+        choice: &Choice,
+        mut upload: Upload,
+        time_left: Duration,
+        headers: HeaderMap,
+        ending: InFlight<'_>,
+    ) -> Attempted {
+        let parts = &self.parts;
+        let job = Job {
+            service: routable.service_name().to_owned(),
+            method: routable.method.clone(),
+            path: routable.path.clone(),
+            trace: crate::call::Trace::receive(&headers, &parts.ids),
+            headers,
+            context: routable.context.clone(),
+            deadline: parts.clock.now() + time_left,
+            plan: routable.situation.plan.version,
+        };
+        let progress = Progress::default();
+        let recall_after = choice.recall_after;
+        let outcome = {
+            let executing = parts.executor.execute(job, &progress, || upload.body());
+            let mut executing = pin!(executing);
+            let mut recall = pin!(sleep(recall_after.unwrap_or(time_left)));
+            let mut recallable = recall_after.is_some();
+            loop {
+                tokio::select! {
+                    biased;
+                    outcome = &mut executing => break outcome,
+                    () = &mut recall, if recallable => {
+                        recallable = false;
+                        progress.recall.notify_one();
+                    }
+                }
+            }
+        };
+        let load = Some(parts.executor.load());
+        match outcome {
+            Outcome::Answered(response) => Attempted::Answered(ending.answered(response, load)),
+            Outcome::NotRun(refused) => {
+                ending.refused(refused, load);
+                Attempted::NotRun(refused, Some(upload))
+            }
+            Outcome::Unknown(unknown) => {
+                ending.failed(load);
+                Attempted::Unknown(unknown, Some(upload))
+            }
+        }
+    }
+
+    async fn over_link(
+        &self,
+        routable: &Routable,
+        choice: &Choice,
+        upload: Upload,
+        time_left: Duration,
+        headers: HeaderMap,
+        ending: InFlight<'_>,
+    ) -> Attempted {
+        let open = Open {
+            call: self.parts.ids.next(),
+            plan: routable.situation.plan.version,
+            service: routable.service_name().to_owned(),
+            tenant: routable.context.tenant.clone().unwrap_or_default(),
+            method: routable.method.clone(),
+            path: routable.path.to_string(),
+            headers,
+            time_left,
+            hops: routable.context.hops,
+            regions: routable.context.regions.clone().unwrap_or_default(),
+            bodiless: upload.is_bodiless(),
+        };
+        let terms = Terms {
+            recall_after: choice.recall_after,
+            time_left,
+        };
+        let links = &self.parts.links;
+        match links.exchange(choice.peer, &open, upload, terms).await {
+            Reply::Answered { head, body } => {
+                let load = Some(head.load);
+                let response = response(*head, body);
+                Attempted::Answered(ending.answered(response, load))
+            }
+            Reply::NotRun {
+                refused,
+                load,
+                upload,
+                ..
+            } => {
+                if load.is_none() {
+                    self.parts.situations.suspect(&choice.instance);
+                }
+                ending.refused(refused, load);
+                Attempted::NotRun(refused, Some(upload))
+            }
+            Reply::Unknown {
+                unknown,
+                load,
+                upload,
+            } => {
+                ending.failed(load);
+                Attempted::Unknown(unknown, Some(upload))
+            }
+        }
+    }
+}
+
+fn response(head: Head, body: peer::Answer) -> Response<Body> {
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    response
+}
+
+/// A call that the router counts as in flight; ends it exactly once.
+pub(super) struct InFlight<'a> {
+    entry: &'a Entry,
+    choice: &'a Choice,
+    deadline: Time,
+    ended: bool,
+}
+
+impl<'a> InFlight<'a> {
+    fn new(entry: &'a Entry, choice: &'a Choice, time_left: Duration) -> Self {
+        Self {
+            entry,
+            choice,
+            deadline: entry.parts.clock.now() + time_left,
+            ended: false,
+        }
+    }
+
+    fn answered(mut self, response: Response<Body>, load: Option<Load>) -> Response<Body> {
+        self.ended = true;
+        self.report(load);
+        let parts = &self.entry.parts;
+        let (head, body) = response.into_parts();
+        let tracked = Tracked::new(
+            body,
+            std::sync::Arc::clone(&parts.router),
+            std::sync::Arc::clone(&parts.observer),
+            parts.clock,
+            self.choice.backend,
+            self.deadline,
+        );
+        Response::from_parts(head, tracked.boxed_unsync())
+    }
+
+    fn refused(mut self, refused: NotRun, load: Option<Load>) {
+        self.end(&routing::Event::Refused(refused.reason()));
+        self.report(load);
+    }
+
+    fn failed(mut self, load: Option<Load>) {
+        self.end(&routing::Event::Failed);
+        self.report(load);
+    }
+
+    fn report(&self, load: Option<Load>) {
+        if let Some(load) = load {
+            self.observe(&routing::Event::Report(load));
+        }
+    }
+
+    fn end(&mut self, event: &routing::Event) {
+        self.ended = true;
+        self.observe(event);
+    }
+
+    fn observe(&self, event: &routing::Event) {
+        let now = self.entry.parts.clock.now();
+        let mut router = self.entry.router();
+        router.observe(now, self.choice.backend, event);
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(&routing::Event::Abandoned);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/forward.rs
@@ -0,0 +1,179 @@
+//! Attempts at backend servers until one answers.
+
+use http::Response;
+use hyper::body::Incoming;
+
+use crate::call::{
+    Body, Call, Cut, Duty, End, Event, NotRun, Reason, Received, Routed, Span, Unknown,
+};
+use crate::clock::Time;
+use crate::peer::Upload;
+use crate::routing::{self, Ask, Avoid, Choice};
+
+use super::attempt::Attempted;
+use super::request::{Refusable, Routable};
+use super::{Entry, refusal};
+
+use http_body_util::BodyExt;
+
+/// What the entry knows of a call between two attempts.
+struct Progress {
+    avoid: Avoid,
+    attempts: u32,
+    deadline: Time,
+    refused: Option<NotRun>,
+    unknown: Option<Unknown>,
+}
+
+impl Progress {
+    /// What all attempts together amount to: one of unknown outcome makes the
+    /// call unknown, whatever came after it.
+    fn end(&self, without_attempt: NotRun) -> Ended {
+        match self.unknown {
+            Some(unknown) => Ended::Unknown(unknown),
+            None => Ended::NotRun(self.refused.unwrap_or(without_attempt)),
+        }
+    }
+}
+
+/// How a call ended at the entry.
+enum Ended {
+    Answered(Response<Body>),
+    NotRun(NotRun),
+    Unknown(Unknown),
+}
+
+impl Entry {
+    /// Serves one request of a caller.
+    pub(super) async fn serve(&self, request: http::Request<Incoming>) -> Response<Body> {
+        let parts = &self.parts;
+        let started = parts.clock.now();
+        parts.observer.event(Event::Received);
+        let (head, body) = request.into_parts();
+        let call = Call::<Received>::receive(Time::from_micros(u64::MAX));
+        let mut routable = match Routable::check(self, head) {
+            Ok(routable) => routable,
+            Err(refusable) => return self.refuse(call, &refusable),
+        };
+        let call = call.route(routable.worth(), started + routable.time_left);
+        let body = body.map_err(|_| Cut::Caller).boxed_unsync();
+        let upload = Upload::new(body, routable.waits_for_continue);
+        let ended = self.forward(call, &mut routable, upload).await;
+        self.record(&routable, started, &ended);
+        match ended {
+            Ended::Answered(response) => response,
+            Ended::NotRun(refused) => refusal::not_run(refused),
+            Ended::Unknown(unknown) => refusal::unknown(unknown),
+        }
+    }
+
+    fn refuse(&self, call: Call<Received>, refusable: &Refusable) -> Response<Body> {
+        let refused = call.refuse(refusable.reason);
+        self.parts.observer.event(Event::Refused(refused.reason()));
+        refusal::elsewhere(refused, &refusable.addresses)
+    }
+
+    fn record(&self, routable: &Routable, started: Time, ended: &Ended) {
+        let parts = &self.parts;
+        let end = match ended {
+            Ended::Answered(response) => End::Answered(response.status()),
+            Ended::NotRun(refused) => {
+                parts.observer.event(Event::Refused(refused.reason()));
+                End::NotRun(refused.reason())
+            }
+            Ended::Unknown(unknown) => {
+                parts.observer.event(Event::Lost(unknown.loss()));
+                End::Unknown(unknown.loss())
+            }
+        };
+        parts.observer.span(&Span {
+            trace: routable.trace,
+            duty: Duty::Entry,
+            service: routable.service_name(),
+            route: routable.route_name(),
+            elapsed: parts.clock.now().since(started),
+            end,
+        });
+    }
+
+    async fn forward(&self, call: Call<Routed>, routable: &mut Routable, upload: Upload) -> Ended {
+        let mut progress = Progress {
+            avoid: Avoid::default(),
+            attempts: 0,
+            deadline: call.deadline(),
+            refused: None,
+            unknown: None,
+        };
+        let mut upload = upload;
+        let now = self.parts.clock.now();
+        self.router().call_made(now);
+        loop {
+            let choice = match self.choose(routable, &upload, &progress) {
+                Ok(choice) => choice,
+                Err(reason) => return progress.end(call.refuse(reason)),
+            };
+            progress.attempts += 1;
+            progress.avoid.insert(choice.backend);
+            let time_left = progress.deadline.since(self.parts.clock.now());
+            let left = match self.attempt(routable, &choice, upload, time_left).await {
+                Attempted::Answered(response) => return Ended::Answered(response),
+                Attempted::NotRun(refused, left) => {
+                    progress.refused = Some(refused);
+                    left.filter(|_| refused.reason().is_local())
+                }
+                Attempted::Unknown(unknown, left) => {
+                    progress.unknown = Some(unknown);
+                    left.filter(|_| routable.idempotent)
+                }
+            };
+            match self.next_attempt(left, &progress) {
+                Some(left) => upload = left,
+                None => return progress.end(call.refuse(Reason::NoBackendServer)),
+            }
+            if let Err(refusable) = routable.refresh(self) {
+                return progress.end(call.refuse(refusable.reason));
+            }
+        }
+    }
+
+    fn choose(
+        &self,
+        routable: &Routable,
+        upload: &Upload,
+        progress: &Progress,
+    ) -> Result<Choice, Reason> {
+        let now = self.parts.clock.now();
+        if now >= progress.deadline {
+            return Err(Reason::Deadline);
+        }
+        let ask = Ask {
+            service: routable.service,
+            regions: routable.allowed,
+            worth: routable.worth(),
+            deadline: progress.deadline,
+            bytes: upload.known_bytes() as u64,
+            avoid: progress.avoid,
+        };
+        let choice = self.router().choose(now, &ask)?;
+        if progress.avoid.contains(choice.backend) {
+            let abandoned = routing::Event::Abandoned;
+            self.router().observe(now, choice.backend, &abandoned);
+            return Err(Reason::NoBackendServer);
+        }
+        let local = choice.local;
+        self.parts.observer.event(Event::Routed { local });
+        Ok(choice)
+    }
+
+    /// What is to be sent, if the call may be tried once more.
+    fn next_attempt(&self, upload: Option<Upload>, progress: &Progress) -> Option<Upload> {
+        let upload = upload.filter(Upload::is_replayable)?;
+        let now = self.parts.clock.now();
+        let spent = progress.attempts >= self.parts.settings.max_attempts;
+        if spent || now >= progress.deadline || !self.router().may_retry(now) {
+            return None;
+        }
+        self.parts.observer.event(Event::Retried);
+        Some(upload)
+    }
+}
--- /dev/null
+++ b/src/entry/request.rs
@@ -0,0 +1,261 @@
+//! Checks a request against the plan before its body is read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::request::Parts as Head;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderValue, Method, header};
+
+use crate::backend::{contains_region, find_tenant};
+use crate::call::{Context, Reason, Trace, hop, region_names};
+use crate::headers;
+use crate::membership::{Situation, State};
+use crate::plan::{Plan, Regions, Version, key};
+
+use super::Entry;
+
+/// Addresses named to a caller outside the home regions.
+const MAX_ADDRESSES: usize = 3;
+
+/// A request that this entry may forward.
+#[derive(Debug)]
+pub(super) struct Routable {
+    pub(super) situation: Arc<Situation>,
+    pub(super) service: key::Service,
+    pub(super) route: key::Route,
+    pub(super) allowed: Regions,
+    pub(super) context: Context,
+    pub(super) time_left: Duration,
+    pub(super) idempotent: bool,
+    pub(super) method: Method,
+    pub(super) path: PathAndQuery,
+    pub(super) headers: HeaderMap,
+    pub(super) waits_for_continue: bool,
+    pub(super) trace: Trace,
+}
+
+/// A request that this entry refuses.
+#[derive(Debug)]
+pub(super) struct Refusable {
+    pub(super) reason: Reason,
+    /// Addresses that may serve it.
+    pub(super) addresses: String,
+}
+
+impl From<Reason> for Refusable {
+    fn from(reason: Reason) -> Self {
+        Self {
+            reason,
+            addresses: String::new(),
+        }
+    }
+}
+
+impl Routable {
+    /// Checks the head of a request.
+    pub(super) fn check(entry: &Entry, head: Head) -> Result<Self, Refusable> {
+        let parts = &entry.parts;
+        check_form(&head)?;
+        let context = Context::receive(&head.headers)?;
+        let situation = parts.situations.situation();
+        let plan = &situation.plan;
+        if plan.version == Version::default() {
+            return Err(Reason::NoPlan.into());
+        }
+        let path = path(&head)?;
+        let service = find_service(plan, &head, &parts.service)?;
+        let asked = Asked {
+            service,
+            method: &head.method,
+            path: path.path(),
+            context: &context,
+        };
+        let (route, allowed) = asked.home(&situation, entry)?;
+        let trace = Trace::receive(&head.headers, &parts.ids);
+        let by_plan = plan.route(route);
+        let time_left = context
+            .time_left
+            .map_or(by_plan.deadline, |left| left.min(by_plan.deadline));
+        let idempotent = by_plan.is_idempotent(&head.method);
+        let regions = region_names(plan, allowed);
+        let waits_for_continue = head.headers.contains_key(header::EXPECT);
+        Ok(Self {
+            service,
+            route,
+            allowed,
+            context: Context { regions, ..context },
+            time_left,
+            idempotent,
+            method: head.method.clone(),
+            path,
+            waits_for_continue,
+            trace,
+            headers: end_to_end(head),
+            situation,
+        })
+    }
+
+    /// Checks the call against the plan in force now, before another attempt.
+    pub(super) fn refresh(&mut self, entry: &Entry) -> Result<(), Refusable> {
+        let situation = entry.parts.situations.situation();
+        if situation.plan.version == self.situation.plan.version {
+            return Ok(());
+        }
+        let plan = &situation.plan;
+        let service = plan.service_names.get(self.service_name());
+        let &service = service.ok_or(Reason::UnknownService)?;
+        let asked = Asked {
+            service,
+            method: &self.method,
+            path: self.path.path(),
+            context: &self.context,
+        };
+        let (route, allowed) = asked.home(&situation, entry)?;
+        self.context.regions = region_names(plan, allowed);
+        self.service = service;
+        self.route = route;
+        self.allowed = allowed;
+        self.idempotent = plan.route(route).is_idempotent(&self.method);
+        self.situation = situation;
+        Ok(())
+    }
+
+    /// Name of the service asked for.
+    pub(super) fn service_name(&self) -> &str {
+        &self.situation.plan.service(self.service).name
+    }
+
+    /// Name of the route.
+    pub(super) fn route_name(&self) -> &str {
+        &self.situation.plan.route(self.route).name
+    }
+
+    /// Stated worth of one answer.
+    pub(super) fn worth(&self) -> u32 {
+        self.situation.plan.route(self.route).worth
+    }
+}
+
+/// What the plan is asked about a request.
+struct Asked<'a> {
+    service: key::Service,
+    method: &'a Method,
+    path: &'a str,
+    context: &'a Context,
+}
+
+impl Asked<'_> {
+    /// The route and the regions that may serve the request, this one included.
+    fn home(
+        &self,
+        situation: &Situation,
+        entry: &Entry,
+    ) -> Result<(key::Route, Regions), Refusable> {
+        let plan = &situation.plan;
+        let route = plan.find_route(self.service, self.method, self.path);
+        let route = route.ok_or(Reason::UnknownRoute)?;
+        let tenant = find_tenant(plan, self.context)?;
+        let home = plan.home_regions(route, tenant);
+        let allowed = home.intersection(self.context.allowed(plan));
+        if contains_region(plan, allowed, &entry.parts.place.region) {
+            return Ok((route, allowed));
+        }
+        Err(Refusable {
+            reason: Reason::Region,
+            addresses: addresses(situation, self.service, allowed),
+        })
+    }
+}
+
+/// Refuses what nodes and backend servers could read in two ways.
+fn check_form(head: &Head) -> Result<(), Reason> {
+    let several_hosts = head.headers.get_all(header::HOST).iter().count() > 1;
+    let both_lengths = head.headers.contains_key(header::CONTENT_LENGTH)
+        && head.headers.contains_key(header::TRANSFER_ENCODING);
+    if several_hosts || both_lengths || head.method == Method::CONNECT {
+        return Err(Reason::Malformed);
+    }
+    Ok(())
+}
+
+/// Dot segments could lead a backend server to another route than the plan's.
+fn path(head: &Head) -> Result<PathAndQuery, Reason> {
+    let path = head.uri.path_and_query().ok_or(Reason::Malformed)?;
+    if path.path().split('/').any(is_dot_segment) {
+        return Err(Reason::Malformed);
+    }
+    Ok(path.clone())
+}
+
+fn is_dot_segment(segment: &str) -> bool {
+    let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+    plain == "." || plain == ".."
+}
+
+fn find_service(plan: &Plan, head: &Head, own: &str) -> Result<key::Service, Reason> {
+    let mut named = head.headers.get_all(headers::SERVICE).iter();
+    if let Some(value) = named.next() {
+        let name = value.to_str().map_err(|_| Reason::Malformed)?;
+        if named.next().is_some() {
+            return Err(Reason::Malformed);
+        }
+        let service = plan.service_names.get(name);
+        return service.copied().ok_or(Reason::UnknownService);
+    }
+    let by_host = host(head).and_then(|host| plan.service_names.get(host));
+    let service = by_host.or_else(|| plan.service_names.get(own));
+    service.copied().ok_or(Reason::UnknownService)
+}
+
+/// Host without port.
+fn host(head: &Head) -> Option<&str> {
+    if let Some(host) = head.uri.host() {
+        return Some(host);
+    }
+    let field = head.headers.get(header::HOST)?.to_str().ok()?;
+    field.split(':').next()
+}
+
+fn end_to_end(head: Head) -> HeaderMap {
+    let authority = head.uri.authority().cloned();
+    let mut fields = head.headers;
+    hop::strip(&mut fields);
+    for name in [
+        headers::SERVICE,
+        headers::TENANT,
+        headers::DEADLINE_MS,
+        headers::HOPS,
+        headers::REGIONS,
+        header::EXPECT,
+    ] {
+        fields.remove(name);
+    }
+    let host = authority.and_then(|authority| HeaderValue::from_str(authority.as_str()).ok());
+    if let Some(host) = host {
+        fields.insert(header::HOST, host);
+    }
+    fields
+}
+
+/// Callers' addresses of instances in `allowed`, those of the service first.
+fn addresses(situation: &Situation, service: key::Service, allowed: Regions) -> String {
+    let plan = &situation.plan;
+    let name = &plan.service(service).name;
+    let mut found: Vec<_> = situation
+        .view
+        .iter()
+        .filter(|instance| instance.state == State::Present)
+        .filter(|instance| {
+            let region = plan.region_names.get(&instance.region);
+            region.is_some_and(|&region| allowed.contains(region))
+        })
+        .collect();
+    found.sort_by_key(|instance| instance.service != *name);
+    let texts: Vec<String> = found
+        .iter()
+        .take(MAX_ADDRESSES)
+        .map(|instance| instance.caller.to_string())
+        .collect();
+    texts.join(", ")
+}
--- /dev/null
+++ b/src/entry/server.rs
@@ -0,0 +1,100 @@
+//! Accepts connections of callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::call::Event;
+
+use super::{Entry, Settings};
+
+/// Pause after the system refuses to accept, for example for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Streams of HTTP/2 that may be reset before they are looked at.
+const MAX_PENDING_RESETS: usize = 64;
+
+/// Serves callers until `shutdown`; returns when the last answer has ended.
+pub async fn serve(listener: TcpListener, entry: Arc<Entry>, shutdown: CancellationToken) {
+    let settings = entry.parts.settings;
+    let places = Arc::new(Semaphore::new(settings.max_connections));
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = shutdown.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((socket, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            entry.parts.observer.event(Event::Rejected);
+            continue;
+        };
+        let serving = serve_connection(socket, Arc::clone(&entry), shutdown.clone());
+        connections.spawn(async move {
+            let _place = place;
+            serving.await;
+        });
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve_connection(socket: TcpStream, entry: Arc<Entry>, shutdown: CancellationToken) {
+    let observer = Arc::clone(&entry.parts.observer);
+    observer.event(Event::Connected);
+    if socket.set_nodelay(true).is_err() {
+        return;
+    }
+    let builder = builder(entry.parts.settings);
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let entry = Arc::clone(&entry);
+        async move { Ok::<_, Infallible>(entry.serve(request).await) }
+    });
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = shutdown.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if served.is_err() {
+        observer.event(Event::Rejected);
+    }
+}
+
+fn builder(settings: Settings) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(settings.head_timeout)
+        .max_buf_size(settings.max_head_bytes)
+        .max_headers(settings.max_headers)
+        .keep_alive(true);
+    let max_head_bytes = u32::try_from(settings.max_head_bytes).unwrap_or(u32::MAX);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(settings.max_streams)
+        .max_header_list_size(max_head_bytes)
+        .initial_stream_window_size(settings.stream_window_bytes)
+        .initial_connection_window_size(settings.connection_window_bytes)
+        .max_pending_accept_reset_streams(MAX_PENDING_RESETS)
+        .keep_alive_interval(settings.head_timeout)
+        .keep_alive_timeout(settings.head_timeout);
+    builder
+}
--- /dev/null
+++ b/src/entry/tests/world.rs
@@ -0,0 +1,567 @@
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::backend::{self, Executor};
+use crate::call::{Admission, Event, Ids, Observer, Snapshot, Span};
+use crate::clock::Clock;
+use crate::entry::{self, Entry, Parts};
+use crate::gate::{self, Gate};
+use crate::membership::{Epoch, Instance, Situation, State, View};
+use crate::peer::{self, Links};
+use crate::plan::{self, Cold, Plan, Regions, Route, Service, Tenant, Version, key};
+use crate::routing::{self, Place, Router};
+
+/// Service of the gates in these tests.
+pub const DESK: &str = "desk";
+/// Service beside the entry.
+pub const FRONT: &str = "front";
+
+/// Runs a test on a runtime of its own.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        tokio::time::timeout(Duration::from_mins(1), test)
+            .await
+            .expect("the test must end");
+    });
+}
+
+/// Keeps what it is told.
+#[derive(Debug, Default)]
+pub struct Recorder(Mutex<Vec<Event>>);
+
+impl Recorder {
+    pub fn count(&self, wanted: Event) -> usize {
+        let events = self.0.lock().expect("no panic");
+        events.iter().filter(|&&event| event == wanted).count()
+    }
+}
+
+impl Observer for Recorder {
+    fn event(&self, event: Event) {
+        self.0.lock().expect("no panic").push(event);
+    }
+
+    fn span(&self, _span: &Span<'_>) {}
+}
+
+fn regions(keys: &[u16]) -> Regions {
+    let mut regions = Regions::NONE;
+    for &key in keys {
+        regions.insert(key::Region(key));
+    }
+    regions
+}
+
+fn route(service: u16, path: &str, home: Regions) -> Route {
+    Route {
+        name: path.into(),
+        service: key::Service(service),
+        method: None,
+        path: path.into(),
+        regions: home,
+        worth: 1,
+        idempotent: None,
+        deadline: Duration::from_secs(10),
+        second_copy: false,
+    }
+}
+
+/// Regions north and south; `/south` of the desk stays in the south.
+pub fn plan() -> Plan {
+    let cold = Cold {
+        allowance: 8,
+        steps: 1,
+        step_time: Duration::from_secs(1),
+    };
+    let service = |name: &str, routes: Vec<key::Route>| Service {
+        name: name.into(),
+        slots: 8,
+        cold,
+        routes,
+    };
+    let zone = |name: &str, region: u16| plan::Zone {
+        name: name.into(),
+        region: key::Region(region),
+        in_service: true,
+    };
+    let region = |name: &str| plan::Region { name: name.into() };
+    let tenant = |name: &str, home: Regions| Tenant {
+        name: name.into(),
+        regions: home,
+    };
+    let mut plan = Plan {
+        version: Version(1),
+        regions: vec![region("north"), region("south")],
+        zones: vec![zone("north-a", 0), zone("south-a", 1)],
+        services: vec![
+            service(DESK, vec![key::Route(0), key::Route(1), key::Route(2)]),
+            service(FRONT, vec![key::Route(3)]),
+        ],
+        tenants: vec![
+            tenant("everywhere", Regions::ALL),
+            tenant("southern", regions(&[1])),
+        ],
+        routes: vec![
+            route(0, "/south", regions(&[1])),
+            route(0, "/short", Regions::ALL),
+            route(0, "/", Regions::ALL),
+            route(1, "/", Regions::ALL),
+        ],
+        ..Plan::default()
+    };
+    plan.routes[1].deadline = Duration::from_millis(300);
+    for (index, region) in plan.regions.iter().enumerate() {
+        let key = key::Region(u16::try_from(index).expect("few"));
+        plan.region_names.insert(region.name.clone(), key);
+    }
+    for (index, zone) in plan.zones.iter().enumerate() {
+        let key = key::Zone(u16::try_from(index).expect("few"));
+        plan.zone_names.insert(zone.name.clone(), key);
+    }
+    for (index, service) in plan.services.iter().enumerate() {
+        let key = key::Service(u16::try_from(index).expect("few"));
+        plan.service_names.insert(service.name.clone(), key);
+    }
+    for (index, tenant) in plan.tenants.iter().enumerate() {
+        let key = key::Tenant(u16::try_from(index).expect("few"));
+        plan.tenant_names.insert(tenant.name.clone(), key);
+    }
+    plan
+}
+
+/// One node in this process.
+pub struct Node {
+    pub instance: Instance,
+    pub situations: Arc<Snapshot>,
+    pub router: Arc<Mutex<Router>>,
+    pub admission: Arc<Admission>,
+    pub recorder: Arc<Recorder>,
+    pub clock: Clock,
+    pub shutdown: CancellationToken,
+    pub servers: Vec<JoinHandle<()>>,
+}
+
+/// How a node differs from the usual one.
+#[derive(Clone, Copy, Debug)]
+pub struct Spec<'a> {
+    pub name: &'a str,
+    pub service: &'a str,
+    pub region: &'a str,
+    pub zone: &'a str,
+    pub slots: u32,
+    pub entry: entry::Settings,
+    pub peer: peer::Settings,
+}
+
+impl Default for Spec<'_> {
+    fn default() -> Self {
+        Self {
+            name: "desk-1",
+            service: DESK,
+            region: "north",
+            zone: "north-a",
+            slots: 8,
+            entry: entry::Settings::default(),
+            peer: peer::Settings::default(),
+        }
+    }
+}
+
+impl Spec<'_> {
+    /// The node that callers of these tests use.
+    pub fn front() -> Self {
+        Self {
+            name: "front-1",
+            service: FRONT,
+            ..Self::default()
+        }
+    }
+}
+
+async fn listen() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("a port")
+}
+
+fn address(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().expect("an address")
+}
+
+impl Node {
+    pub async fn start(spec: Spec<'_>, backend_server: SocketAddr) -> Self {
+        let place = Place {
+            instance: spec.name.into(),
+            region: spec.region.into(),
+            zone: spec.zone.into(),
+        };
+        let clock = Clock::start();
+        let recorder = Arc::new(Recorder::default());
+        let situations = Arc::new(Snapshot::default());
+        let cold = Cold {
+            allowance: spec.slots,
+            steps: 1,
+            step_time: Duration::from_secs(1),
+        };
+        let gate_settings = gate::Settings {
+            slots: spec.slots,
+            cold,
+            ..gate::Settings::default()
+        };
+        let admission = Admission::new(Gate::new(gate_settings, clock.now()), clock);
+        let shutdown = CancellationToken::new();
+        let ids = Arc::new(Ids::new(7));
+        let client = backend::Http::new(backend_server, backend::Settings::default());
+        let executor = Arc::new(Executor {
+            place: place.clone(),
+            service: spec.service.into(),
+            situations: situations.clone(),
+            admission: admission.clone(),
+            client: Arc::new(client),
+            clock,
+            observer: recorder.clone(),
+            ids: ids.clone(),
+        });
+        let routing = routing::Settings::default();
+        let router = Arc::new(Mutex::new(Router::new(routing, place.clone(), 1)));
+        let entry = Entry::new(Parts {
+            place,
+            service: spec.service.into(),
+            situations: situations.clone(),
+            router: router.clone(),
+            executor: executor.clone(),
+            links: Arc::new(Links::new(spec.peer, recorder.clone())),
+            clock,
+            observer: recorder.clone(),
+            ids,
+            settings: spec.entry,
+        });
+        let (callers, peers) = (listen().await, listen().await);
+        let instance = Instance {
+            name: spec.name.into(),
+            epoch: Epoch(1),
+            service: spec.service.into(),
+            region: spec.region.into(),
+            zone: spec.zone.into(),
+            caller: address(&callers),
+            peer: address(&peers),
+            control: address(&peers),
+            state: State::Present,
+        };
+        let servers = vec![
+            tokio::spawn(entry::serve(callers, entry, shutdown.clone())),
+            tokio::spawn(peer::serve(peers, executor, spec.peer, shutdown.clone())),
+            tokio::spawn(admission.clone().run(shutdown.clone())),
+        ];
+        Self {
+            instance,
+            situations,
+            router,
+            admission,
+            recorder,
+            clock,
+            shutdown,
+            servers,
+        }
+    }
+
+    /// Puts a plan and a view in force at this node.
+    pub fn learn(&self, plan: Plan, instances: &[&Instance]) {
+        let mut view = View::default();
+        for &instance in instances {
+            view.merge(instance.clone());
+        }
+        let situation = Situation {
+            plan: Arc::new(plan),
+            view: Arc::new(view),
+        };
+        let mut router = self.router.lock().expect("no panic");
+        router.update(self.clock.now(), &situation);
+        self.situations.replace(situation);
+    }
+
+    /// Stops gracefully and waits for the end.
+    pub async fn stop(self) {
+        self.shutdown.cancel();
+        for server in self.servers {
+            server.await.expect("no panic");
+        }
+    }
+}
+
+/// An entry without backend server and gates that know one another.
+pub struct World {
+    pub front: Node,
+    pub desks: Vec<Node>,
+}
+
+impl World {
+    pub async fn start(servers: &[&BackendServer]) -> Self {
+        Self::start_with(Spec::front(), Spec::default(), servers).await
+    }
+
+    pub async fn start_with(front: Spec<'_>, desk: Spec<'_>, servers: &[&BackendServer]) -> Self {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        let front = Node::start(front, nowhere).await;
+        let mut desks = Vec::new();
+        for (index, server) in servers.iter().enumerate() {
+            let name = format!("desk-{index}");
+            let spec = Spec {
+                name: &name,
+                ..desk
+            };
+            desks.push(Node::start(spec, server.address).await);
+        }
+        let world = Self { front, desks };
+        world.learn(&plan());
+        world
+    }
+
+    pub fn learn(&self, plan: &Plan) {
+        let nodes = || std::iter::once(&self.front).chain(&self.desks);
+        let instances: Vec<&Instance> = nodes().map(|node| &node.instance).collect();
+        for node in nodes() {
+            node.learn(plan.clone(), &instances);
+        }
+    }
+
+    /// Sends a request to the desk through the entry.
+    pub async fn call(&self, method: Method, path: &str, body: &str) -> Answer {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", DESK)
+            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+            .expect("a request");
+        send(self.front.instance.caller, request).await
+    }
+}
+
+/// A whole answer, or as much as came of it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: http::HeaderMap,
+    pub body: Result<String, String>,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value.map_or("", |value| value.to_str().unwrap_or("?"))
+    }
+
+    /// Status, outcome and reason in one line.
+    pub fn summary(&self) -> String {
+        let outcome = self.header("monsooncove-outcome");
+        let reason = self.header("monsooncove-reason");
+        format!("{} {outcome} {reason}", self.status)
+    }
+}
+
+/// Sends one request over a connection of its own.
+pub async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Answer {
+    let response = start(address, request).await.expect("a head");
+    collect(response).await
+}
+
+/// Sends one request and waits for the head of its answer.
+pub async fn start<B>(
+    address: SocketAddr,
+    request: Request<B>,
+) -> Result<Response<Incoming>, hyper::Error>
+where
+    B: http_body::Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
+{
+    let socket = TcpStream::connect(address).await.expect("a connection");
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(socket))
+        .await
+        .expect("a handshake");
+    tokio::spawn(connection);
+    sender.send_request(request).await
+}
+
+pub async fn collect(response: Response<Incoming>) -> Answer {
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.map_err(|error| error.to_string());
+    Answer {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body: body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned()),
+    }
+}
+
+/// What a backend server does with a connection after each request it has read.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Sends these bytes and reads the next request.
+    Send(&'static str),
+    /// Sends these bytes and closes.
+    SendAndClose(&'static str),
+    /// Closes at once.
+    Close,
+    /// Stays silent until the connection closes.
+    Hold,
+    /// Stays silent for a while, then sends.
+    After(Duration, &'static str),
+}
+
+/// A plain answer.
+pub const OK: Step = Step::Send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+
+/// A backend server that follows a script.
+pub struct BackendServer {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+    script: Arc<Mutex<Vec<Step>>>,
+    closed: Arc<tokio::sync::Semaphore>,
+    server: JoinHandle<()>,
+}
+
+impl BackendServer {
+    /// Follows `script` in order of the requests; repeats its last step.
+    pub async fn start(script: &[Step]) -> Self {
+        Self::follow(Arc::new(Mutex::new(script.to_vec()))).await
+    }
+
+    /// Another backend server that shares the script of this one.
+    pub async fn twin(&self) -> Self {
+        Self::follow(self.script.clone()).await
+    }
+
+    async fn follow(script: Arc<Mutex<Vec<Step>>>) -> Self {
+        let listener = listen().await;
+        let server = Self {
+            address: address(&listener),
+            seen: Arc::default(),
+            script,
+            closed: Arc::new(tokio::sync::Semaphore::new(0)),
+            server: tokio::spawn(async {}),
+        };
+        let (seen, script, closed) = (
+            server.seen.clone(),
+            server.script.clone(),
+            server.closed.clone(),
+        );
+        let accepting = tokio::spawn(async move {
+            loop {
+                let (socket, _) = listener.accept().await.expect("a connection");
+                let connection = follow(socket, seen.clone(), script.clone());
+                let closed = closed.clone();
+                tokio::spawn(async move {
+                    connection.await;
+                    closed.add_permits(1);
+                });
+            }
+        });
+        Self {
+            server: accepting,
+            ..server
+        }
+    }
+
+    /// Requests read so far, head and body.
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().expect("no panic").clone()
+    }
+
+    /// Waits until a connection has ended.
+    pub async fn connection_closed(&self) {
+        let permit = self.closed.acquire().await.expect("open");
+        permit.forget();
+    }
+
+    /// Takes no more connections.
+    pub async fn stop(&self) {
+        self.server.abort();
+        while !self.server.is_finished() {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+async fn follow(
+    mut socket: TcpStream,
+    seen: Arc<Mutex<Vec<String>>>,
+    script: Arc<Mutex<Vec<Step>>>,
+) {
+    let mut received = Vec::new();
+    while let Some(request) = read_request(&mut socket, &mut received).await {
+        seen.lock().expect("no panic").push(request);
+        let step = {
+            let mut script = script.lock().expect("no panic");
+            if script.len() > 1 {
+                script.remove(0)
+            } else {
+                script[0].clone()
+            }
+        };
+        match step {
+            Step::Send(bytes) => {
+                if socket.write_all(bytes.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            Step::SendAndClose(bytes) => {
+                let _ = socket.write_all(bytes.as_bytes()).await;
+                return;
+            }
+            Step::Close => return,
+            Step::Hold => {
+                let _ = socket.read(&mut [0; 1]).await;
+                return;
+            }
+            Step::After(pause, bytes) => {
+                tokio::time::sleep(pause).await;
+                if socket.write_all(bytes.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Reads one request with a sized or chunked body.
+async fn read_request(socket: &mut TcpStream, received: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(length) = request_length(received) {
+            let request: Vec<u8> = received.drain(..length).collect();
+            return Some(String::from_utf8_lossy(&request).into_owned());
+        }
+        let mut chunk = vec![0; 64 * 1024];
+        let read = socket.read(&mut chunk).await.ok()?;
+        if read == 0 {
+            return None;
+        }
+        received.extend_from_slice(&chunk[..read]);
+    }
+}
+
+fn request_length(received: &[u8]) -> Option<usize> {
+    let text = String::from_utf8_lossy(received);
+    let head = text.find("\r\n\r\n")? + 4;
+    let fields = text[..head].to_ascii_lowercase();
+    if fields.contains("transfer-encoding: chunked") {
+        return text[head..].find("0\r\n\r\n").map(|end| head + end + 5);
+    }
+    let sized = fields
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: ")?.trim().parse().ok());
+    let total = head + sized.unwrap_or(0);
+    (received.len() >= total).then_some(total)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,12 +9,15 @@
 #[macro_use]
 mod cases;
 
+pub mod backend;
 pub mod call;
 pub mod clock;
+pub mod entry;
 pub mod error;
 pub mod gate;
 pub mod headers;
 pub mod membership;
+pub mod peer;
 pub mod plan;
 pub mod routing;
 pub mod settings;
--- a/src/peer/inbound.rs
+++ b/src/peer/inbound.rs
@@ -4,7 +4,7 @@
 
 use h2::RecvStream;
 
-use super::wire::{Decoder, Malformed, Raw};
+use super::wire::{Decoder, Raw};
 
 /// Why no frame comes any more.
 #[derive(Debug)]
@@ -14,7 +14,7 @@
     /// The stream or its link broke.
     Broken(Option<h2::Reason>),
     /// What came is no frame.
-    Malformed(Malformed),
+    Malformed,
 }
 
 /// Reads frames and returns flow control as they are taken.
@@ -37,10 +37,10 @@
 
     pub(super) fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Result<Raw, Ended>> {
         loop {
-            match self.decoder.next() {
+            match self.decoder.pull() {
                 Ok(Some(raw)) => return Poll::Ready(Ok(raw)),
                 Ok(None) => {}
-                Err(malformed) => return Poll::Ready(Err(Ended::Malformed(malformed))),
+                Err(_) => return Poll::Ready(Err(Ended::Malformed)),
             }
             match std::task::ready!(self.stream.poll_data(context)) {
                 Some(Ok(chunk)) => {
--- /dev/null
+++ b/src/peer/links.rs
@@ -0,0 +1,272 @@
+//! Links to other nodes, one connection per peer.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use h2::client::{Connection, ResponseFuture, SendRequest};
+use h2::{Ping, PingPong};
+use http::{Method, Request, Uri};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::call::{Event, Observer};
+
+use super::Settings;
+use super::inbound::{Ended, Inbound};
+use super::outbound::Outbound;
+use super::wire::Raw;
+
+/// Path of every stream; names the version of the framing.
+const CALL_PATH: &str = "http://peer/call/1";
+
+/// the node at {address} takes no calls ({cause}); see whether it runs and its peer port is open
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub struct LinkDown {
+    /// Peer that was called.
+    pub address: SocketAddr,
+    /// What the attempt saw.
+    pub cause: String,
+}
+
+impl std::error::Error for LinkDown {}
+
+/// Links to all peers that were called.
+pub struct Links {
+    settings: Settings,
+    observer: Arc<dyn Observer>,
+    peers: Mutex<BTreeMap<SocketAddr, Arc<Peer>>>,
+}
+
+impl fmt::Debug for Links {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Links").finish_non_exhaustive()
+    }
+}
+
+/// One call on a link.
+pub(super) struct Stream {
+    /// Frames up.
+    pub(super) up: Outbound,
+    /// Frames down.
+    pub(super) down: Down,
+}
+
+impl Links {
+    /// Links that are opened when they are first used.
+    #[must_use]
+    pub fn new(settings: Settings, observer: Arc<dyn Observer>) -> Self {
+        Self {
+            settings,
+            observer,
+            peers: Mutex::new(BTreeMap::new()),
+        }
+    }
+
+    /// Starts a call with the frames in `first`.
+    ///
+    /// # Errors
+    ///
+    /// Fails only when none of `first` was sent.
+    pub(super) async fn open(
+        &self,
+        address: SocketAddr,
+        first: Bytes,
+        end: bool,
+    ) -> Result<Stream, LinkDown> {
+        let peer = self.peer(address);
+        let mut sender = self.ready(&peer).await?;
+        let down = |error: &dyn fmt::Display| LinkDown {
+            address,
+            cause: error.to_string(),
+        };
+        let mut request = Request::new(());
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(CALL_PATH);
+        let sent = sender.send_request(request, false);
+        let (response, stream) = sent.map_err(|error| down(&error))?;
+        let mut up = Outbound::new(stream);
+        up.send_now(first, end)
+            .map_err(|_| down(&"the stream closed at once"))?;
+        Ok(Stream {
+            up,
+            down: Down::Waiting(response),
+        })
+    }
+
+    pub(super) const fn observer(&self) -> &Arc<dyn Observer> {
+        &self.observer
+    }
+
+    /// Forgets the links to peers for which `keep` is false.
+    pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
+        lock(&self.peers).retain(|&address, _| keep(address));
+    }
+
+    fn peer(&self, address: SocketAddr) -> Arc<Peer> {
+        let mut peers = lock(&self.peers);
+        Arc::clone(
+            peers
+                .entry(address)
+                .or_insert_with(|| Arc::new(Peer::new(address))),
+        )
+    }
+
+    async fn ready(&self, peer: &Arc<Peer>) -> Result<SendRequest<Bytes>, LinkDown> {
+        if let Some(link) = peer.current() {
+            match link.sender.ready().await {
+                Ok(sender) => return Ok(sender),
+                Err(_) => peer.forget(link.number),
+            }
+        }
+        let _connecting = peer.connecting.lock().await;
+        let link = match peer.current() {
+            Some(link) => link,
+            None => self.connect(peer).await?,
+        };
+        link.sender.ready().await.map_err(|error| {
+            peer.forget(link.number);
+            peer.down(&error)
+        })
+    }
+
+    async fn connect(&self, peer: &Arc<Peer>) -> Result<Link, LinkDown> {
+        let opened = timeout(self.settings.connect_timeout, self.handshake(peer.address)).await;
+        let (sender, connection) = match opened {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(error)) => return Err(peer.down(&error)),
+            Err(elapsed) => return Err(peer.down(&elapsed)),
+        };
+        self.observer.event(Event::LinkOpened);
+        let link = peer.keep(sender);
+        let settings = self.settings;
+        let peer = Arc::clone(peer);
+        let number = link.number;
+        tokio::spawn(async move {
+            drive(connection, settings).await;
+            peer.forget(number);
+        });
+        Ok(link)
+    }
+
+    async fn handshake(
+        &self,
+        address: SocketAddr,
+    ) -> io::Result<(SendRequest<Bytes>, Connection<TcpStream, Bytes>)> {
+        let socket = TcpStream::connect(address).await?;
+        socket.set_nodelay(true)?;
+        h2::client::Builder::new()
+            .initial_window_size(self.settings.stream_window_bytes)
+            .initial_connection_window_size(self.settings.link_window_bytes)
+            .max_frame_size(self.settings.max_frame_bytes)
+            .enable_push(false)
+            .handshake(socket)
+            .await
+            .map_err(io::Error::other)
+    }
+}
+
+/// Runs a link until it closes or stops answering pings.
+async fn drive(mut connection: Connection<TcpStream, Bytes>, settings: Settings) {
+    let Some(pings) = connection.ping_pong() else {
+        let _ = connection.await;
+        return;
+    };
+    tokio::select! {
+        _ = connection => {}
+        () = silence(pings, settings) => {}
+    }
+}
+
+/// Returns when a ping was not answered.
+async fn silence(mut pings: PingPong, settings: Settings) {
+    loop {
+        sleep(settings.ping_interval).await;
+        let answered = timeout(settings.ping_timeout, pings.ping(Ping::opaque())).await;
+        if !matches!(answered, Ok(Ok(_))) {
+            return;
+        }
+    }
+}
+
+/// A peer and the link to it, if there is one.
+struct Peer {
+    address: SocketAddr,
+    link: Mutex<Option<Link>>,
+    connecting: tokio::sync::Mutex<()>,
+    links: AtomicU64,
+}
+
+#[derive(Clone)]
+struct Link {
+    number: u64,
+    sender: SendRequest<Bytes>,
+}
+
+impl Peer {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            link: Mutex::new(None),
+            connecting: tokio::sync::Mutex::new(()),
+            links: AtomicU64::new(0),
+        }
+    }
+
+    fn current(&self) -> Option<Link> {
+        lock(&self.link).clone()
+    }
+
+    fn keep(&self, sender: SendRequest<Bytes>) -> Link {
+        let number = self.links.fetch_add(1, Ordering::Relaxed);
+        let link = Link { number, sender };
+        *lock(&self.link) = Some(link.clone());
+        link
+    }
+
+    fn forget(&self, number: u64) {
+        let mut link = lock(&self.link);
+        if link.as_ref().is_some_and(|link| link.number == number) {
+            *link = None;
+        }
+    }
+
+    fn down(&self, cause: &dyn fmt::Display) -> LinkDown {
+        LinkDown {
+            address: self.address,
+            cause: cause.to_string(),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Frames from the gate.
+pub(super) enum Down {
+    /// Nothing has come yet.
+    Waiting(ResponseFuture),
+    /// The stream has begun.
+    Reading(Inbound),
+}
+
+impl Down {
+    pub(super) async fn next(&mut self) -> Result<Raw, Ended> {
+        if let Self::Waiting(response) = self {
+            match response.await {
+                Ok(response) => *self = Self::Reading(Inbound::new(response.into_body())),
+                Err(error) => return Err(Ended::Broken(error.reason())),
+            }
+        }
+        match self {
+            Self::Reading(inbound) => inbound.next().await,
+            Self::Waiting(_) => Err(Ended::Broken(None)),
+        }
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -30,19 +30,20 @@
 //! ```
 
 mod answer;
+mod exchange;
 mod inbound;
 mod links;
 mod outbound;
+mod receiver;
 mod server;
 mod settings;
 mod stream;
-#[cfg(test)]
-mod tests;
 mod upload;
 pub mod wire;
 
 pub use answer::Answer;
-pub use links::{Down, LinkDown, Links, Stream};
+pub use exchange::{Reply, Terms};
+pub use links::{LinkDown, Links};
 pub use server::serve;
 pub use settings::Settings;
 pub use upload::Upload;
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,116 @@
+//! Accepts links from other nodes.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::server::Connection;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::backend::Executor;
+use crate::call::Event;
+
+use super::{Settings, stream};
+
+/// Pause after the system refuses to accept, for example for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Streams that may be reset before they are looked at.
+const MAX_PENDING_RESETS: usize = 1024;
+
+/// Serves calls from other nodes. After `shutdown` links are told to send no
+/// new ones; returns when the last call has ended.
+pub async fn serve(
+    listener: TcpListener,
+    executor: Arc<Executor>,
+    settings: Settings,
+    shutdown: CancellationToken,
+) {
+    let places = Arc::new(Semaphore::new(settings.max_links));
+    let links = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = shutdown.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((socket, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            executor.observer.event(Event::LinkRejected);
+            continue;
+        };
+        let link = serve_link(socket, Arc::clone(&executor), settings, shutdown.clone());
+        links.spawn(async move {
+            let _place = place;
+            link.await;
+        });
+    }
+    links.close();
+    links.wait().await;
+}
+
+async fn serve_link(
+    socket: TcpStream,
+    executor: Arc<Executor>,
+    settings: Settings,
+    shutdown: CancellationToken,
+) {
+    let Ok(mut link) = handshake(socket, settings).await else {
+        executor.observer.event(Event::LinkRejected);
+        return;
+    };
+    let calls = TaskTracker::new();
+    let mut closing = false;
+    loop {
+        let accepted = tokio::select! {
+            accepted = link.accept() => accepted,
+            () = shutdown.cancelled(), if !closing => {
+                closing = true;
+                link.graceful_shutdown();
+                continue;
+            }
+        };
+        match accepted {
+            Some(Ok((request, respond))) => {
+                let executor = Arc::clone(&executor);
+                calls.spawn(stream::serve(executor, settings, request, respond));
+            }
+            Some(Err(error)) if error.is_io() => break,
+            Some(Err(_)) => {
+                executor.observer.event(Event::LinkRejected);
+                break;
+            }
+            None => break,
+        }
+    }
+    drop(link);
+    calls.close();
+    calls.wait().await;
+}
+
+async fn handshake(
+    socket: TcpStream,
+    settings: Settings,
+) -> io::Result<Connection<TcpStream, Bytes>> {
+    socket.set_nodelay(true)?;
+    let mut builder = h2::server::Builder::new();
+    builder
+        .initial_window_size(settings.stream_window_bytes)
+        .initial_connection_window_size(settings.link_window_bytes)
+        .max_frame_size(settings.max_frame_bytes)
+        .max_concurrent_streams(settings.max_streams)
+        .max_pending_accept_reset_streams(MAX_PENDING_RESETS);
+    let connected = timeout(settings.open_timeout, builder.handshake(socket)).await;
+    match connected {
+        Ok(Ok(link)) => Ok(link),
+        Ok(Err(error)) => Err(io::Error::other(error)),
+        Err(elapsed) => Err(elapsed.into()),
+    }
+}
--- /dev/null
+++ b/src/peer/stream.rs
@@ -0,0 +1,256 @@
+//! The gate's side of one stream: frames in, a call to the executor, frames out.
+
+use bytes::Bytes;
+use futures::FutureExt;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::uri::PathAndQuery;
+use http::{Request, Response};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use std::pin::pin;
+use std::sync::Arc;
+use tokio::time::timeout;
+
+use crate::backend::{Executor, Job, Outcome, Progress};
+use crate::call::{Body, Context, Cut, Event, Loss, MAX_HOPS, Reason, Trace};
+
+use super::Settings;
+use super::inbound::Inbound;
+use super::outbound::{Broken, Outbound};
+use super::receiver::Receiver;
+use super::wire::{self, Encoder, Failed, Head, Open, Raw, Refused, Trailers, kind};
+
+/// Room for the head of an answer and a short body.
+const ANSWER_BYTES: usize = 4 * 1024;
+
+type Part = Result<Frame<Bytes>, Cut>;
+
+/// Serves one call.
+pub(super) async fn serve(
+    executor: Arc<Executor>,
+    settings: Settings,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) {
+    let mut inbound = Inbound::new(request.into_body());
+    let opened = timeout(settings.open_timeout, open(&mut inbound)).await;
+    let Ok(Some(open)) = opened else {
+        executor.observer.event(Event::LinkRejected);
+        respond.send_reset(h2::Reason::PROTOCOL_ERROR);
+        return;
+    };
+    let call = open.call;
+    let Ok(stream) = respond.send_response(Response::new(()), false) else {
+        return;
+    };
+    let mut reply = Reply {
+        call,
+        executor: &executor,
+        outbound: Outbound::new(stream),
+    };
+    let mut upload = Receiver::new(open.bodiless, inbound, &executor);
+    // An error means that the entry is gone; dropping the call cancels it.
+    let _ = reply.run(open, &mut upload).await;
+}
+
+async fn open(inbound: &mut Inbound) -> Option<Open> {
+    match inbound.next().await {
+        Ok(Raw::Message(kind::OPEN, payload)) => wire::read(kind::OPEN, &payload).ok(),
+        _ => None,
+    }
+}
+
+/// Sends what becomes of the call.
+struct Reply<'a> {
+    call: u64,
+    executor: &'a Executor,
+    outbound: Outbound,
+}
+
+impl Reply<'_> {
+    async fn run(&mut self, open: Open, upload: &mut Receiver<'_>) -> Result<(), Broken> {
+        let progress = Progress::default();
+        let body = upload.body();
+        let executor = self.executor;
+        let outcome = match job(open, executor) {
+            Ok(job) => {
+                let executing = executor.execute(job, &progress, move || body);
+                let mut executing = pin!(executing);
+                loop {
+                    tokio::select! {
+                        biased;
+                        outcome = &mut executing => break outcome,
+                        () = progress.admitted.notified() => self.admitted(upload)?,
+                        received = upload.pump(&progress) => received?,
+                        () = self.outbound.reset() => return Err(Broken),
+                    }
+                }
+            }
+            Err(reason) => return self.refused(reason),
+        };
+        match outcome {
+            Outcome::Answered(response) => self.answer(response, upload, &progress).await,
+            Outcome::NotRun(refused) => self.refused(refused.reason()),
+            Outcome::Unknown(unknown) => self.failed(unknown.loss()),
+        }
+    }
+
+    /// Only an entry that still holds back a part of the body needs to know.
+    fn admitted(&mut self, upload: &Receiver<'_>) -> Result<(), Broken> {
+        if upload.is_whole() {
+            return Ok(());
+        }
+        let mut frames = Encoder::with_capacity(wire::HEADER_BYTES);
+        frames.bare(kind::ADMITTED);
+        self.outbound.flush(&mut frames, false)
+    }
+
+    fn refused(&mut self, reason: Reason) -> Result<(), Broken> {
+        let refused = Refused {
+            call: self.call,
+            reason: Some(reason),
+            load: self.executor.load(),
+            plan: self.executor.plan(),
+        };
+        let mut frames = Encoder::default();
+        frames
+            .message(kind::REFUSED, &refused)
+            .map_err(|_| Broken)?;
+        self.outbound.flush(&mut frames, true)
+    }
+
+    fn failed(&mut self, loss: Loss) -> Result<(), Broken> {
+        let failed = Failed {
+            call: self.call,
+            loss: Some(loss),
+            load: self.executor.load(),
+        };
+        let mut frames = Encoder::default();
+        frames.message(kind::FAILED, &failed).map_err(|_| Broken)?;
+        self.outbound.flush(&mut frames, true)
+    }
+
+    async fn answer(
+        &mut self,
+        response: Response<Body>,
+        upload: &mut Receiver<'_>,
+        progress: &Progress,
+    ) -> Result<(), Broken> {
+        let (parts, body) = response.into_parts();
+        let head = Head {
+            call: self.call,
+            status: parts.status,
+            headers: parts.headers,
+            load: self.executor.load(),
+        };
+        let mut frames = Encoder::with_capacity(ANSWER_BYTES);
+        if frames.message(kind::HEAD, &head).is_err() {
+            return self.failed(Loss::BackendServer);
+        }
+        let mut sending = pin!(send_body(&mut self.outbound, frames, body));
+        loop {
+            tokio::select! {
+                biased;
+                sent = &mut sending => return sent,
+                received = upload.pump(progress) => received?,
+            }
+        }
+    }
+}
+
+/// Sends the head in `frames` and the body, together while both are short.
+async fn send_body(
+    outbound: &mut Outbound,
+    mut frames: Encoder,
+    mut body: Body,
+) -> Result<(), Broken> {
+    loop {
+        match next_frame(outbound, &mut frames, &mut body).await? {
+            None => {
+                frames.bare(kind::END);
+                return outbound.flush(&mut frames, true);
+            }
+            Some(Ok(frame)) => send_frame(outbound, &mut frames, frame).await?,
+            Some(Err(_)) => {
+                outbound.abort(h2::Reason::INTERNAL_ERROR);
+                return Err(Broken);
+            }
+        }
+    }
+}
+
+/// Flushes `frames` only when the body makes them wait.
+async fn next_frame(
+    outbound: &mut Outbound,
+    frames: &mut Encoder,
+    body: &mut Body,
+) -> Result<Option<Part>, Broken> {
+    if let Some(ready) = body.frame().now_or_never() {
+        return Ok(ready);
+    }
+    if !frames.is_empty() {
+        outbound.flush(frames, false)?;
+    }
+    tokio::select! {
+        biased;
+        frame = body.frame() => Ok(frame),
+        () = outbound.reset() => Err(Broken),
+    }
+}
+
+async fn send_frame(
+    outbound: &mut Outbound,
+    frames: &mut Encoder,
+    frame: Frame<Bytes>,
+) -> Result<(), Broken> {
+    let frame = match frame.into_data() {
+        Ok(part) => return send_part(outbound, frames, part).await,
+        Err(frame) => frame,
+    };
+    if let Ok(headers) = frame.into_trailers() {
+        let trailers = Trailers { headers };
+        frames
+            .message(kind::TRAILERS, &trailers)
+            .map_err(|_| Broken)?;
+    }
+    Ok(())
+}
+
+async fn send_part(
+    outbound: &mut Outbound,
+    frames: &mut Encoder,
+    part: Bytes,
+) -> Result<(), Broken> {
+    if frames.is_empty() || part.len() > ANSWER_BYTES {
+        if !frames.is_empty() {
+            outbound.flush(frames, false)?;
+        }
+        return outbound.body(part).await;
+    }
+    frames.body(&part);
+    Ok(())
+}
+
+fn job(open: Open, executor: &Executor) -> Result<Job, Reason> {
+    if open.hops > MAX_HOPS {
+        return Err(Reason::TooManyHops);
+    }
+    let path = PathAndQuery::try_from(open.path).map_err(|_| Reason::Malformed)?;
+    let trace = Trace::receive(&open.headers, &executor.ids);
+    Ok(Job {
+        service: open.service,
+        method: open.method,
+        path,
+        headers: open.headers,
+        context: Context {
+            hops: open.hops,
+            time_left: Some(open.time_left),
+            regions: (!open.regions.is_empty()).then_some(open.regions),
+            tenant: (!open.tenant.is_empty()).then_some(open.tenant),
+        },
+        deadline: executor.clock.now() + open.time_left,
+        plan: open.plan,
+        trace,
+    })
+}
--- /dev/null
+++ b/src/peer/upload.rs
@@ -0,0 +1,305 @@
+//! Body of a request on its way from the caller.
+//!
+//! What has been read is kept while it is short, so that a call that was not
+//! run can be sent to another gate. More is read only after a gate has let the
+//! call through.
+
+use std::collections::VecDeque;
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use futures::{FutureExt, stream};
+use http::HeaderMap;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::{BodyExt, StreamBody};
+use tokio::sync::Notify;
+
+use crate::call::{Body, Cut};
+
+use super::outbound::Outbound;
+use super::wire::{Encoder, Trailers, kind};
+
+/// Bytes that are read before a gate has let the call through, and kept.
+const REPLAY_BYTES: usize = 64 * 1024;
+
+/// A request body that can be sent again as long as it is short.
+pub struct Upload {
+    source: Option<Body>,
+    kept: VecDeque<Bytes>,
+    kept_bytes: usize,
+    trailers: Option<HeaderMap>,
+    replayable: bool,
+    held_back: bool,
+}
+
+impl fmt::Debug for Upload {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Upload")
+            .field("kept_bytes", &self.kept_bytes)
+            .field("replayable", &self.replayable)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Words to an upload that is under way.
+#[derive(Debug, Default)]
+pub(super) struct Control {
+    /// The gate let the call through.
+    pub(super) admitted: Notify,
+    /// The call is to be withdrawn if it is still queued.
+    pub(super) recall: Notify,
+    /// The attempt is over.
+    pub(super) stop: Notify,
+}
+
+/// How an upload ended.
+pub(super) struct Uploaded {
+    pub(super) upload: Upload,
+    pub(super) outbound: Outbound,
+    pub(super) result: Result<(), Cut>,
+}
+
+pub(super) type Uploading = BoxFuture<'static, Uploaded>;
+
+impl Upload {
+    /// Takes in what has already arrived, unless the caller waits to be told to
+    /// send.
+    #[must_use]
+    pub fn new(body: Body, waits_for_continue: bool) -> Self {
+        let mut upload = Self {
+            source: (!body.is_end_stream()).then_some(body),
+            kept: VecDeque::new(),
+            kept_bytes: 0,
+            trailers: None,
+            replayable: true,
+            held_back: waits_for_continue,
+        };
+        if !waits_for_continue {
+            upload.gather();
+        }
+        upload
+    }
+
+    /// Whether the request has no body.
+    #[must_use]
+    pub fn is_bodiless(&self) -> bool {
+        self.is_whole() && self.kept.is_empty() && self.trailers.is_none()
+    }
+
+    /// Whether all of it has been read and kept.
+    #[must_use]
+    pub const fn is_whole(&self) -> bool {
+        self.source.is_none() && self.replayable
+    }
+
+    /// Whether another attempt can send it from the start.
+    #[must_use]
+    pub const fn is_replayable(&self) -> bool {
+        self.replayable
+    }
+
+    /// Bytes read so far.
+    #[must_use]
+    pub const fn known_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// The whole of it, for the backend server beside this node. A body that is
+    /// still coming can be taken only once.
+    pub fn body(&mut self) -> Body {
+        if !self.is_whole() {
+            self.replayable = false;
+        }
+        Joined {
+            kept: self.kept.clone(),
+            source: self.source.take(),
+            trailers: self.trailers.clone(),
+        }
+        .boxed_unsync()
+    }
+
+    /// Adds what is kept to the frames of an attempt.
+    pub(super) fn start(&self, frames: &mut Encoder) {
+        for part in &self.kept {
+            frames.body(part);
+        }
+        if self.is_whole() && !self.is_bodiless() {
+            self.finish(frames);
+        }
+    }
+
+    /// Sends the rest as the gate allows, and recalls when told to.
+    pub(super) async fn send(mut self, mut outbound: Outbound, control: Arc<Control>) -> Uploaded {
+        let result = tokio::select! {
+            biased;
+            () = control.stop.notified() => Ok(()),
+            result = self.send_rest(&mut outbound, &control) => result,
+        };
+        Uploaded {
+            upload: self,
+            outbound,
+            result,
+        }
+    }
+
+    async fn send_rest(&mut self, outbound: &mut Outbound, control: &Control) -> Result<(), Cut> {
+        let mut admitted = false;
+        while self.source.is_some() {
+            let may_read = admitted || !(self.held_back || self.kept_bytes >= REPLAY_BYTES);
+            tokio::select! {
+                biased;
+                () = control.recall.notified() => recall(outbound)?,
+                () = control.admitted.notified(), if !admitted => {
+                    admitted = true;
+                    self.held_back = false;
+                }
+                frame = read(&mut self.source), if may_read => match frame {
+                    Some(Ok(frame)) => self.pass(frame, admitted, outbound).await?,
+                    Some(Err(cut)) => {
+                        outbound.abort(h2::Reason::CANCEL);
+                        self.replayable = false;
+                        return Err(cut);
+                    }
+                    None => {
+                        self.source = None;
+                        let mut frames = Encoder::default();
+                        self.finish(&mut frames);
+                        outbound.flush(&mut frames, false).map_err(|_| Cut::Link)?;
+                    }
+                },
+            }
+        }
+        loop {
+            control.recall.notified().await;
+            recall(outbound)?;
+        }
+    }
+
+    async fn pass(
+        &mut self,
+        frame: Frame<Bytes>,
+        admitted: bool,
+        outbound: &mut Outbound,
+    ) -> Result<(), Cut> {
+        let part = frame.data_ref().cloned();
+        self.keep(frame);
+        if admitted && self.kept_bytes > REPLAY_BYTES {
+            self.replayable = false;
+            self.kept.clear();
+        }
+        match part {
+            Some(part) => outbound.body(part).await.map_err(|_| Cut::Link),
+            None => Ok(()),
+        }
+    }
+
+    fn finish(&self, frames: &mut Encoder) {
+        if let Some(headers) = self.trailers.clone() {
+            // Trailers have passed the limits of the caller's connection,
+            // which are lower than those of a frame.
+            let _ = frames.message(kind::TRAILERS, &Trailers { headers });
+        }
+        frames.bare(kind::END);
+    }
+
+    /// An error is left for whoever reads on.
+    fn gather(&mut self) {
+        while self.kept_bytes < REPLAY_BYTES {
+            let Some(source) = &mut self.source else {
+                return;
+            };
+            match source.frame().now_or_never() {
+                Some(Some(Ok(frame))) => {
+                    if source.is_end_stream() {
+                        self.source = None;
+                    }
+                    self.keep(frame);
+                }
+                Some(None) => self.source = None,
+                Some(Some(Err(cut))) => {
+                    self.source = Some(broken(cut));
+                    return;
+                }
+                None => return,
+            }
+        }
+    }
+
+    fn keep(&mut self, frame: Frame<Bytes>) {
+        match frame.into_data() {
+            Ok(part) => {
+                self.kept_bytes += part.len();
+                self.kept.push_back(part);
+            }
+            Err(frame) => self.trailers = frame.into_trailers().ok(),
+        }
+    }
+}
+
+fn recall(outbound: &mut Outbound) -> Result<(), Cut> {
+    let mut frames = Encoder::default();
+    frames.bare(kind::RECALL);
+    outbound.flush(&mut frames, false).map_err(|_| Cut::Link)
+}
+
+async fn read(source: &mut Option<Body>) -> Option<Result<Frame<Bytes>, Cut>> {
+    match source {
+        Some(source) => source.frame().await,
+        None => None,
+    }
+}
+
+fn broken(cut: Cut) -> Body {
+    StreamBody::new(stream::iter([Err(cut)])).boxed_unsync()
+}
+
+/// What was read, then what is still coming.
+struct Joined {
+    kept: VecDeque<Bytes>,
+    source: Option<Body>,
+    trailers: Option<HeaderMap>,
+}
+
+impl HttpBody for Joined {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if let Some(part) = self.kept.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(part))));
+        }
+        if let Some(source) = &mut self.source {
+            return Pin::new(source).poll_frame(context);
+        }
+        Poll::Ready(
+            self.trailers
+                .take()
+                .map(|headers| Ok(Frame::trailers(headers))),
+        )
+    }
+
+    fn is_end_stream(&self) -> bool {
+        let source_ended = self.source.as_ref().is_none_or(HttpBody::is_end_stream);
+        self.kept.is_empty() && source_ended && self.trailers.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let kept = self.kept.iter().map(|part| part.len() as u64).sum();
+        let Some(source) = &self.source else {
+            return SizeHint::with_exact(kept);
+        };
+        let mut hint = source.size_hint();
+        if let Some(upper) = hint.upper() {
+            hint.set_upper(upper + kept);
+        }
+        hint.set_lower(hint.lower() + kept);
+        hint
+    }
+}
--- a/src/peer/wire/decoder.rs
+++ b/src/peer/wire/decoder.rs
@@ -63,7 +63,7 @@
     /// # Errors
     ///
     /// Fails when the announced length is over the limit of its kind.
-    pub fn next(&mut self) -> Result<Option<Raw>, Malformed> {
+    pub fn pull(&mut self) -> Result<Option<Raw>, Malformed> {
         if self.body_left > 0 {
             return Ok(self.body_part());
         }
