--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod cases;
 
 pub mod backend;
+pub mod bench;
 pub mod call;
 pub mod clock;
 pub mod entry;
@@ -21,7 +22,10 @@
 pub mod plan;
 pub mod routing;
 pub mod settings;
+pub mod sheet;
+pub mod standin;
 pub mod store;
+pub mod telemetry;
 
 pub use error::{Error, Result};
 pub use settings::Settings;
--- /dev/null
+++ b/src/membership/server.rs
@@ -0,0 +1,66 @@
+//! Serves the control service.
+
+use std::sync::Arc;
+
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use super::control::{Condition, Control, Status};
+use super::driver::Driver;
+use super::links;
+use super::message::{Heartbeat, News};
+use super::roster::Entry;
+use super::text::{Stamp, Update};
+
+/// Answers the calls of other nodes and tools.
+#[derive(Clone)]
+pub(super) struct Server {
+    pub(super) driver: Arc<Driver>,
+    pub(super) report: Arc<dyn Fn() -> Condition + Send + Sync>,
+}
+
+impl Control for Server {
+    async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
+        self.driver
+            .step(|core, now, actions| core.receive_beat(now, &heartbeat, actions))
+    }
+
+    async fn news(self, _: Context, news: News) {
+        self.driver
+            .step(|core, now, actions| core.receive_news(now, news, actions));
+    }
+
+    async fn pull(self, _: Context, buckets: Vec<u64>) -> Vec<Entry> {
+        self.driver.step(|core, _, _| core.receive_pull(&buckets))
+    }
+
+    async fn fetch(self, _: Context, have: Stamp) -> Update {
+        self.driver.step(|core, _, _| core.receive_fetch(have))
+    }
+
+    async fn status(self, _: Context) -> Status {
+        let condition = (self.report)();
+        self.driver.status(condition)
+    }
+}
+
+/// Accepts connections until `shutdown`.
+pub(super) async fn serve(listener: TcpListener, server: Server, shutdown: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shutdown.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let meter = server.driver.meter();
+        let connection = links::answer(stream, server.clone(), meter);
+        let shutdown = shutdown.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = connection => {}
+                () = shutdown.cancelled() => {}
+            }
+        });
+    }
+}
