--- /dev/null
+++ b/src/membership/tests/lattice.rs
@@ -0,0 +1,183 @@
+//! Deltas, rosters and ranks by themselves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::clock::Time;
+use crate::membership::delta::Delta;
+use crate::membership::roster::{Entry, Roster, Standing};
+use crate::membership::text::{Text, Texts, Update};
+use crate::membership::topology::Topology;
+use crate::membership::{Epoch, Id, Instance, Settings, State};
+use crate::plan::Version;
+
+fn entry(name: &str, zone: &str, epoch: u64, standing: Standing) -> Entry {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Entry {
+        instance: Instance {
+            name: name.into(),
+            epoch: Epoch(epoch),
+            service: "odber".into(),
+            region: "morava".into(),
+            zone: zone.into(),
+            caller: address,
+            peer: address,
+            control: address,
+            state: State::Present,
+        },
+        standing,
+    }
+}
+
+fn standing() -> impl Strategy<Value = Standing> {
+    prop_oneof![
+        Just(Standing::Present),
+        Just(Standing::Down),
+        Just(Standing::Leaving),
+        Just(Standing::Gone),
+    ]
+}
+
+fn entries() -> impl Strategy<Value = Vec<Entry>> {
+    let one = (0_u8..5, 0_u64..4, standing());
+    let one = one.prop_map(|(n, epoch, standing)| entry(&format!("n{n}"), "a", epoch, standing));
+    prop::collection::vec(one, 0..40)
+}
+
+fn merged<'a>(entries: impl Iterator<Item = &'a Entry>) -> Roster {
+    let mut roster = Roster::default();
+    for entry in entries {
+        roster.merge(Time::ZERO, entry.clone());
+    }
+    roster
+}
+
+fn contents(roster: &Roster) -> Vec<(Id, Entry)> {
+    roster
+        .iter()
+        .map(|(id, entry)| (id, entry.clone()))
+        .collect()
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(256))]
+
+    #[test]
+    fn order_and_number_of_merges_do_not_matter(entries in entries(), turn in 0_usize..40) {
+        let once = merged(entries.iter());
+        let turn = turn.min(entries.len());
+        let turned = entries[turn..].iter().chain(&entries[..turn]);
+        let again = merged(turned.chain(entries.iter().rev()));
+        prop_assert_eq!(contents(&once), contents(&again));
+        prop_assert_eq!(once.digest(), again.digest());
+    }
+
+    #[test]
+    fn pull_of_the_differing_buckets_makes_rosters_equal(ours in entries(), theirs in entries()) {
+        let mut ours = merged(ours.iter());
+        let mut theirs = merged(theirs.iter());
+        for entry in theirs.differing(ours.buckets()) {
+            ours.merge(Time::ZERO, entry);
+        }
+        for entry in ours.differing(theirs.buckets()) {
+            theirs.merge(Time::ZERO, entry);
+        }
+        prop_assert_eq!(ours.digest(), theirs.digest());
+    }
+
+    #[test]
+    fn delta_makes_the_new_text_of_the_old(
+        old in prop::collection::vec(0_u8..12, 0..40),
+        new in prop::collection::vec(0_u8..12, 0..40),
+    ) {
+        let text = |version, rows: &[u8]| {
+            let rows: Vec<String> = rows.iter().map(|row| format!("row {row}\n")).collect();
+            Text::new(Version(version), rows.concat())
+        };
+        let (old, new) = (text(1, &old), text(2, &new));
+        let delta = Delta::between(&old, &new);
+        prop_assert_eq!(delta.apply(&old), Some(new.clone()));
+        prop_assert_eq!(delta.apply(&new), None);
+    }
+}
+
+cases! {
+    change_of_one_row_travels_as_that_row: {
+        let rows: Vec<String> = (0..5_000).map(|row| format!("route,/path/{row},1\n")).collect();
+        let old = rows.concat();
+        let new = old.replace("/path/2500,1", "/path/2500,2");
+        let mut texts = Texts::default();
+        texts.push(Text::new(Version(1), old));
+        let before = texts.stamp();
+        texts.push(Text::new(Version(2), new));
+        let Update::Delta(delta) = texts.update(before) else {
+            panic!("the whole text was sent");
+        };
+        assert!(delta.size_bytes() < 100);
+        assert!(texts.apply(&delta).is_some());
+    };
+    peer_with_an_unknown_text_is_sent_the_whole: {
+        let mut texts = Texts::default();
+        texts.push(Text::new(Version(3), "sheet\n".into()));
+        let unknown = Text::new(Version(1), "other\n".into()).stamp();
+        assert!(matches!(texts.update(unknown), Update::Full(_)));
+        assert_eq!(texts.update(texts.stamp()), Update::Current);
+    };
+    instance_that_is_down_for_long_counts_as_gone: {
+        let mut roster = merged([entry("n", "a", 1, Standing::Down)].iter());
+        roster.prune(Time::ZERO + Duration::from_mins(9));
+        assert_eq!(roster.get(Id::of("n")).unwrap().standing, Standing::Down);
+        roster.prune(Time::ZERO + Duration::from_mins(10));
+        assert_eq!(roster.get(Id::of("n")).unwrap().standing, Standing::Gone);
+        assert_eq!(roster.digest(), 0);
+    };
+    gone_instance_of_an_older_epoch_does_not_come_back: {
+        let mut roster = merged([entry("n", "a", 2, Standing::Gone)].iter());
+        assert!(!roster.merge(Time::ZERO, entry("n", "a", 2, Standing::Present)));
+        assert!(roster.merge(Time::ZERO, entry("n", "a", 3, Standing::Present)));
+    };
+    zone_of_many_has_two_relays_whoever_asks: {
+        let entries: Vec<Entry> = (0..85)
+            .map(|n| entry(&format!("n{n}"), "a", 1, Standing::Present))
+            .collect();
+        let roster = merged(entries.iter());
+        let asked = |n: usize| Topology::new(entries[n].id(), &roster).relays;
+        assert_eq!(asked(0).len(), 2);
+        assert_eq!(asked(0), asked(84));
+    };
+    every_instance_has_two_monitors_in_its_zone_and_two_beside: {
+        let entries: Vec<Entry> = (0..40)
+            .map(|n| entry(&format!("n{n}"), ["a", "b"][n % 2], 1, Standing::Present))
+            .collect();
+        let roster = merged(entries.iter());
+        for watched in &entries {
+            let watching = entries.iter().filter(|other| {
+                let topology = Topology::new(other.id(), &roster);
+                topology.targets.contains_key(&watched.id())
+            });
+            let (own, beside): (Vec<&Entry>, Vec<&Entry>) =
+                watching.partition(|other| other.instance.zone == watched.instance.zone);
+            assert_eq!((own.len(), beside.len()), (2, 2));
+        }
+    };
+    renewals_of_the_whole_fleet_stay_under_one_rate: {
+        let settings = Settings::default();
+        for nodes in [6_u32, 96, 850, 5_000] {
+            let interval = settings.renewal_interval(nodes as usize);
+            let rate = f64::from(nodes) / interval.as_secs_f64();
+            assert!(rate <= settings.fleet_renewals_per_second + 1e-6);
+        }
+    };
+}
