--- a/src/bench/process.rs
+++ b/src/bench/process.rs
@@ -87,6 +87,12 @@
         &self.name
     }
 
+    /// Number that the system knows it by; none once it was waited for.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
--- a/src/bench/slopes/mod.rs
+++ b/src/bench/slopes/mod.rs
@@ -1,5 +1,6 @@
 //! What each role costs, as slopes over its size, from real processes.
 
+pub mod control;
 mod fit;
 #[cfg(test)]
 mod tests;
--- a/src/bin/monsooncove-bench/app.rs
+++ b/src/bin/monsooncove-bench/app.rs
@@ -22,6 +22,7 @@
         Some(("overhead", matches)) => run_overhead(matches).await,
         Some(("store", matches)) => run_store(matches).await,
         Some(("backend", matches)) => run_backend(matches).await,
+        Some(("slopes", matches)) => crate::slopes::run(matches).await,
         Some(("policy", matches)) => crate::policy::run(matches).await,
         _ => Ok(false),
     }
--- a/src/bin/monsooncove-bench/clap_app.rs
+++ b/src/bin/monsooncove-bench/clap_app.rs
@@ -12,6 +12,7 @@
         .subcommand(store())
         .subcommand(backend())
         .subcommand(crate::policy::command())
+        .subcommand(crate::slopes::command())
 }
 
 fn demo() -> Command {
--- a/src/bin/monsooncove-bench/main.rs
+++ b/src/bin/monsooncove-bench/main.rs
@@ -3,6 +3,7 @@
 mod app;
 mod clap_app;
 mod policy;
+mod slopes;
 
 use std::process::ExitCode;
 
--- a/src/membership/control.rs
+++ b/src/membership/control.rs
@@ -42,6 +42,8 @@
     pub in_force_since_us: u64,
     /// Instances it knows of.
     pub instances: u32,
+    /// When the situation last changed, in microseconds of Unix time.
+    pub changed_us: u64,
     /// Digest of what it knows of instances.
     pub roster: u64,
     /// Whether it relays for its zone.
--- a/src/membership/core/spread.rs
+++ b/src/membership/core/spread.rs
@@ -108,7 +108,6 @@
                 self.plan = Arc::new(plan);
                 self.texts.push(text);
                 self.pending.plan |= origin == Origin::Store || self.is_relay();
-                log::info!("plan {} is in force", stamp.version);
             }
             Err(error) => {
                 self.rejected = Some(stamp);
--- a/src/membership/driver.rs
+++ b/src/membership/driver.rs
@@ -39,6 +39,7 @@
     pub(super) reannounce: Notify,
     follow: watch::Sender<bool>,
     in_force_since_us: AtomicU64,
+    changed_us: AtomicU64,
 }
 
 impl Driver {
@@ -53,6 +54,7 @@
             reannounce: Notify::new(),
             follow: watch::Sender::new(true),
             in_force_since_us: AtomicU64::new(0),
+            changed_us: AtomicU64::new(0),
         }
     }
 
@@ -60,6 +62,11 @@
         Arc::clone(&self.meter)
     }
 
+    /// Counts a call of another node.
+    pub(super) fn count_message(&self) {
+        self.meter.count_message();
+    }
+
     /// Tells whether the store is to be followed.
     pub(super) fn follow(&self) -> watch::Receiver<bool> {
         self.follow.subscribe()
@@ -122,6 +129,7 @@
             plan_version: core.version(),
             in_force_since_us: self.in_force_since_us.load(Ordering::Relaxed),
             instances: u32::try_from(core.fleet_size()).unwrap_or(u32::MAX),
+            changed_us: self.changed_us.load(Ordering::Relaxed),
             roster: core.digest(),
             relay: core.is_relay(),
             traffic: self.meter.traffic(),
@@ -143,6 +151,7 @@
         }
         if let Some(situation) = core.take_situation() {
             self.publisher.publish(situation);
+            self.changed_us.store(unix_us(), Ordering::Relaxed);
         }
         let follow = core.follows_store(now);
         self.follow
--- a/src/membership/server.rs
+++ b/src/membership/server.rs
@@ -22,20 +22,24 @@
 
 impl Control for Server {
     async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
+        self.driver.count_message();
         self.driver
             .step(|core, now, actions| core.receive_beat(now, &heartbeat, actions))
     }
 
     async fn news(self, _: Context, news: News) {
+        self.driver.count_message();
         self.driver
             .step(|core, now, actions| core.receive_news(now, news, actions));
     }
 
     async fn pull(self, _: Context, buckets: Vec<u64>) -> Vec<Entry> {
+        self.driver.count_message();
         self.driver.step(|core, _, _| core.receive_pull(&buckets))
     }
 
     async fn fetch(self, _: Context, have: Stamp) -> Update {
+        self.driver.count_message();
         self.driver.step(|core, _, _| core.receive_fetch(have))
     }
 
