--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -15,6 +15,7 @@
 use super::process::Process;
 use crate::standin::backend::{Checks, Control, Executions};
 use crate::standin::caller::Target;
+use crate::standin::store::{Counters, Faults};
 
 /// Longest wait for the end of a process that was asked to stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(40);
@@ -163,6 +164,26 @@
         self.client.post(address, "/-/control", control).await
     }
 
+    /// Sets the faults of the store, in place of those in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not accept them.
+    pub async fn set_store_faults(&self, faults: &Faults) -> io::Result<()> {
+        self.client
+            .post(self.store_address, "/-/faults", faults)
+            .await
+    }
+
+    /// Calls that the store counted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub async fn store_counters(&self) -> io::Result<Counters> {
+        self.client.get(self.store_address, "/-/counters").await
+    }
+
     /// Books of the backend servers.
     ///
     /// # Errors
--- a/src/standin/wire.rs
+++ b/src/standin/wire.rs
@@ -5,8 +5,8 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -30,6 +30,13 @@
     Cut,
 }
 
+/// Bytes that are looked for in what passes.
+#[derive(Debug, Default)]
+struct Search {
+    needle: Mutex<Vec<u8>>,
+    found: AtomicU64,
+}
+
 /// A running forwarder; ends with the value.
 #[derive(Debug)]
 pub struct Wire {
@@ -37,6 +44,7 @@
     mode: watch::Sender<Mode>,
     target: watch::Sender<Option<SocketAddr>>,
     bytes: Arc<AtomicU64>,
+    search: Arc<Search>,
     shutdown: CancellationToken,
 }
 
@@ -54,12 +62,14 @@
             mode: watch::Sender::new(Mode::Pass),
             target: watch::Sender::new(None),
             bytes: Arc::default(),
+            search: Arc::default(),
             shutdown: CancellationToken::new(),
         };
         let line = Line {
             mode: wire.mode.subscribe(),
             target: wire.target.subscribe(),
             bytes: Arc::clone(&wire.bytes),
+            search: Arc::clone(&wire.search),
         };
         let accepting = accept(listener, line);
         tokio::spawn(wire.shutdown.clone().run_until_cancelled_owned(accepting));
@@ -83,6 +93,17 @@
         self.bytes.load(Ordering::Relaxed)
     }
 
+    /// Looks for `needle` in all that passes from now on.
+    pub fn search(&self, needle: &[u8]) {
+        *self.search.needle() = needle.to_vec();
+    }
+
+    /// Number of times that it was found.
+    #[must_use]
+    pub fn found(&self) -> u64 {
+        self.search.found.load(Ordering::Relaxed)
+    }
+
     /// Changes what happens to bytes, also on open connections.
     pub fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
@@ -101,6 +122,29 @@
     mode: watch::Receiver<Mode>,
     target: watch::Receiver<Option<SocketAddr>>,
     bytes: Arc<AtomicU64>,
+    search: Arc<Search>,
+}
+
+impl Search {
+    fn needle(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.needle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Searches `bytes`, which follow `tail`; leaves the tail of both.
+    fn feed(&self, tail: &mut Vec<u8>, bytes: &[u8]) {
+        let needle = self.needle();
+        if needle.is_empty() {
+            return;
+        }
+        tail.extend_from_slice(bytes);
+        let found = tail
+            .windows(needle.len())
+            .filter(|window| *window == needle.as_slice());
+        self.found
+            .fetch_add(found.count() as u64, Ordering::Relaxed);
+        let kept = tail.len().min(needle.len() - 1);
+        tail.drain(..tail.len() - kept);
+    }
 }
 
 impl Line {
@@ -140,6 +184,7 @@
     mut line: Line,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut tail = Vec::new();
     loop {
         let read = from.read(&mut buffer).await?;
         if read == 0 {
@@ -152,6 +197,7 @@
             Mode::Pass | Mode::Hold | Mode::Cut => Duration::ZERO,
         });
         tokio::time::sleep(delay).await;
+        line.search.feed(&mut tail, &buffer[..read]);
         to.write_all(&buffer[..read]).await?;
         line.bytes.fetch_add(read as u64, Ordering::Relaxed);
     }
--- a/src/standin/wire/tests.rs
+++ b/src/standin/wire/tests.rs
@@ -4,7 +4,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{Mode, Wire};
+use super::{Mode, Search, Wire};
 
 /// Longer than loopback takes; only the cases that must not pass wait for it.
 const QUIET: Duration = Duration::from_millis(200);
@@ -48,7 +48,23 @@
     })
 }
 
+fn found(parts: &[&str]) -> u64 {
+    let search = Search::default();
+    *search.needle() = b"order".to_vec();
+    let mut tail = Vec::new();
+    for part in parts {
+        search.feed(&mut tail, part.as_bytes());
+    }
+    search.found.into_inner()
+}
+
 cases! {
+    finds_what_passes:
+        assert_eq!(found(&["an order, ", "two orders"]), 2);
+    finds_what_is_split:
+        assert_eq!(found(&["an or", "d", "er"]), 1);
+    finds_nothing_twice:
+        assert_eq!(found(&["order", "ly"]), 1);
     passes_bytes_both_ways:
         assert_eq!(through(Mode::Pass, None), Some(7));
     holds_bytes:
