--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -7,6 +7,7 @@
 pub mod monitor;
 pub mod operator;
 pub mod overhead;
+pub mod policy;
 pub mod process;
 pub mod promises;
 pub mod report;
--- a/src/bin/monsooncove-bench/clap_app.rs
+++ b/src/bin/monsooncove-bench/clap_app.rs
@@ -11,6 +11,7 @@
         .subcommand(overhead())
         .subcommand(store())
         .subcommand(backend())
+        .subcommand(crate::policy::command())
 }
 
 fn demo() -> Command {
