--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -10,6 +10,7 @@
 use super::boots::Boots;
 use super::life::{Drain, Phase};
 use super::limit::Limit;
+use super::pace::Pace;
 use super::pause::Pause;
 use super::queue::Queue;
 use super::{Action, Arrival, Load, Outcome, Settings, Sign, State, Ticket};
@@ -24,6 +25,7 @@
     boots: Boots,
     limit: Limit,
     pause: Pause,
+    pace: Pace,
     running: BTreeMap<Ticket, Time>,
     queue: Queue,
 }
@@ -38,8 +40,9 @@
             says_cold: false,
             zone_out_since: None,
             boots: Boots::default(),
-            limit: Limit::new(settings.slots, settings.initial_service_time, now),
+            limit: Limit::new(&settings, now),
             pause: Pause::default(),
+            pace: Pace::new(settings.stall_deviations),
             running: BTreeMap::new(),
             queue: Queue::default(),
         }
@@ -54,6 +57,7 @@
             actions.push(Action::Refuse(arrival.ticket, reason));
             return;
         }
+        self.pace.sample(now);
         self.queue.push(&arrival);
         self.pump(now, actions);
         self.trim(arrival, actions);
@@ -67,9 +71,10 @@
         outcome: Outcome,
         actions: &mut Vec<Action>,
     ) {
-        if self.running.remove(&ticket).is_none() {
+        let Some(start) = self.running.remove(&ticket) else {
             return;
-        }
+        };
+        self.pace.ended(now, start);
         match outcome {
             Outcome::Answered { service_time } => self.answered(now, service_time),
             Outcome::Failed => self.failed(now, actions),
@@ -166,8 +171,8 @@
         Load {
             in_hand: self.in_hand(),
             queued: self.queued(),
-            limit: self.limit(),
-            service_time: self.limit.service_time(),
+            limit: self.capacity(now),
+            service_time: self.service_time(now),
             accepting: self.closed(now).is_none(),
         }
     }
@@ -203,6 +208,26 @@
         }
     }
 
+    /// Calls that may be in hand now. A stalled backend server gets no more.
+    fn capacity(&self, now: Time) -> u32 {
+        let limit = self.limit();
+        match self.stall(now) {
+            Some(_) => limit.min(self.in_hand()),
+            None => limit,
+        }
+    }
+
+    /// Time the next call is expected to take. Half of it lies ahead of the
+    /// running calls on average.
+    fn service_time(&self, now: Time) -> Duration {
+        let usual = self.limit.service_time();
+        self.stall(now).map_or(usual, |age| usual.max(age * 2))
+    }
+
+    fn stall(&self, now: Time) -> Option<Duration> {
+        self.pace.stall(now, self.limit.service_time())
+    }
+
     /// Why no new work is taken.
     fn closed(&self, now: Time) -> Option<Reason> {
         if !self.phase.is_open() {
@@ -280,11 +305,12 @@
     /// Drops what cannot finish, admits what fits, notes an end of the drain.
     fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.expire(now, actions);
-        while self.in_hand() < self.limit() && !self.pause.is_closed(now) {
+        while self.in_hand() < self.capacity(now) && !self.pause.is_closed(now) {
             let Some(ticket) = self.queue.pop_first() else {
                 break;
             };
             self.running.insert(ticket, now);
+            self.pace.started(now);
             actions.push(Action::Admit(ticket));
         }
         self.settle_empty();
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -10,6 +10,7 @@
 mod life;
 mod limit;
 mod load;
+mod pace;
 mod pause;
 mod queue;
 mod settings;
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -133,12 +133,12 @@
             let limit = f64::from(self.fresh_limit.max(1));
             return (mean.occupancy * limit, limit, mean.service_us);
         };
-        let half_lives =
-            now.since(report.at).as_secs_f64() / settings.report_half_life.as_secs_f64();
-        let kept = 0.5_f64.powf(half_lives);
+        let age_us = micros(now.since(report.at));
+        let kept_calls = kept(age_us, settings.calls_half_life * mean.service_us);
         let usual = mean.occupancy * report.limit;
-        let others = usual + (report.others - usual) * kept;
-        let service_us = mean.service_us + (report.service_us - mean.service_us) * kept;
+        let others = usual + (report.others - usual) * kept_calls;
+        let kept_time = kept(age_us, micros(settings.service_time_half_life));
+        let service_us = mean.service_us + (report.service_us - mean.service_us) * kept_time;
         (others, report.limit, service_us)
     }
 
@@ -164,6 +164,11 @@
     pub(super) occupancy: f64,
 }
 
+/// Share of a deviation that is left after `age_us`.
+fn kept(age_us: f64, half_life_us: f64) -> f64 {
+    0.5_f64.powf(age_us / half_life_us.max(1.0))
+}
+
 pub(super) fn micros(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1e6
 }
