--- a/src/telemetry/log/mod.rs
+++ b/src/telemetry/log/mod.rs
@@ -12,7 +12,7 @@
 
 use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 
 use crate::plan::Version;
 use crate::settings::LogFormat;
@@ -21,6 +21,9 @@
 
 const APPENDER: &str = "stderr";
 
+/// Libraries that log single requests, which is left to metrics and spans.
+const CHATTY: [&str; 5] = ["tarpc", "h2", "hyper", "hyper_util", "opentelemetry"];
+
 /// Who writes the lines.
 #[derive(Clone, Debug, Default)]
 pub struct Identity {
@@ -68,6 +71,7 @@
     let root = Root::builder().appender(APPENDER).build(level);
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, Box::new(appender)))
+        .loggers(CHATTY.map(|library| Logger::builder().build(library, LevelFilter::Off)))
         .build(root)
         .map_err(|error| crate::Error::Logging(error.to_string()))?;
     log4rs::init_config(config).map_err(|error| crate::Error::Logging(error.to_string()))?;
