--- a/src/plan/tests/acceptance.rs
+++ b/src/plan/tests/acceptance.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use crate::plan::Version;
 use crate::plan::acceptance::{
     Acceptance, Conflict, Error, Settings, accept, accept_with, current,
@@ -16,7 +18,7 @@
 }
 
 /// Runs in virtual time: pauses between follow-ups pass at once.
-fn run<T>(session: impl Future<Output = T>) -> T {
+pub fn run<T>(session: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
@@ -115,7 +117,10 @@
         store.writes([Some(Fault::AnswerLost)]);
         let own = settings(7);
         let slow = accept_with(&store, &first, &own);
-        let quick = async { accept(&store, &second).await };
+        let quick = async {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            accept(&store, &second).await
+        };
         let (slow, quick) = tokio::join!(slow, quick);
         assert_eq!((accepted(slow), accepted(quick)), (Version(2), Version(3)));
     });
@@ -172,6 +177,29 @@
         store.reads([None, Some(Fault::Stale)]);
         assert_eq!(accepted(accept(&store, &example::farm()).await), Version(3));
     });
+    of_zones_taken_out_at_the_same_time_one_stays_in: run(async {
+        let store = store_with_farm().await;
+        let a = farm_with("morava-a", "out");
+        let b = farm_with("morava-b", "out");
+        let (first, second) = tokio::join!(accept(&store, &a), accept(&store, &b));
+        assert_eq!(accepted(first), Version(2));
+        let conflict = conflict(second);
+        assert_eq!((conflict.base, conflict.version), (Version(1), Version(2)));
+        insta::assert_snapshot!(conflict.delta.expect("both are known"), @r"~ zone morava-a: state in -> out");
+        assert_eq!(in_force(&store).await, (Version(2), a));
+    });
+    zone_ordered_out_and_in_at_the_same_time_ends_as_one_of_both: run(async {
+        let store = store_with_farm().await;
+        let out = farm_with("morava-a", "out");
+        accepted(accept(&store, &out).await);
+        let back = farm_with("morava-a", "in");
+        let stays = parse(out.to_csv().replace(",all,20,,800", ",all,25,,800").as_bytes())
+            .expect("the edit keeps the sheet valid");
+        let (first, second) = tokio::join!(accept(&store, &stays), accept(&store, &back));
+        assert_eq!(accepted(first), Version(3));
+        assert_eq!(conflict(second).version, Version(3));
+        assert_eq!(in_force(&store).await, (Version(3), stays));
+    });
     change_made_for_an_older_version_is_told_what_came_between: run(async {
         let store = store_with_farm().await;
         accepted(accept(&store, &farm_with("morava-a", "out")).await);
--- a/src/plan/tests/fake.rs
+++ b/src/plan/tests/fake.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::task::yield_now;
+
 use crate::store::{
     Client, Error, Expect, Lease, Listing, Outcome, Record, Result, Revision, Watched, Write,
 };
@@ -39,6 +41,7 @@
     held: Vec<Write>,
     down: bool,
     written: Vec<Write>,
+    applied: Vec<Write>,
 }
 
 impl Store {
@@ -74,6 +77,11 @@
         self.state().written.clone()
     }
 
+    /// Writes that took effect.
+    pub fn applied(&self) -> Vec<Write> {
+        self.state().applied.clone()
+    }
+
     /// Keys that exist.
     pub fn keys(&self) -> Vec<String> {
         self.state().records.keys().cloned().collect()
@@ -94,6 +102,7 @@
         if !holds {
             return Outcome::NotApplied(current);
         }
+        self.applied.push(write.clone());
         self.revision += 1;
         let revision = Revision(self.revision);
         if let Some(current) = current {
@@ -124,6 +133,7 @@
 
 impl Client for Store {
     async fn get(&self, key: &str) -> Result<Option<Record>> {
+        yield_now().await;
         let mut state = self.state();
         match state.reads.pop_front().flatten() {
             Some(Fault::Stale) => Ok(state.before.get(key).cloned()),
@@ -146,6 +156,7 @@
     }
 
     async fn write(&self, write: Write) -> Result<Outcome> {
+        yield_now().await;
         let mut state = self.state();
         match state.writes.pop_front().flatten() {
             Some(Fault::AnswerLost) => {
--- a/src/plan/tests/mod.rs
+++ b/src/plan/tests/mod.rs
@@ -1,3 +1,4 @@
 mod acceptance;
 mod fake;
 mod lookup;
+mod races;
