--- a/src/plan/tests/acceptance.rs
+++ b/src/plan/tests/acceptance.rs
@@ -177,6 +177,13 @@
         store.reads([None, Some(Fault::Stale)]);
         assert_eq!(accepted(accept(&store, &example::farm()).await), Version(3));
     });
+    much_older_head_after_a_lost_answer_is_not_believed: run(async {
+        let store = store_with_farm().await;
+        accepted(accept(&store, &farm_with("morava-a", "out")).await);
+        store.writes([Some(Fault::AnswerLost)]);
+        store.reads([None, Some(Fault::Oldest)]);
+        assert_eq!(accepted(accept(&store, &example::farm()).await), Version(3));
+    });
     of_zones_taken_out_at_the_same_time_one_stays_in: run(async {
         let store = store_with_farm().await;
         let a = farm_with("morava-a", "out");
--- a/src/plan/tests/fake.rs
+++ b/src/plan/tests/fake.rs
@@ -23,6 +23,8 @@
     WriteHeld,
     /// A read is answered with the value before the last write.
     Stale,
+    /// A read is answered with the first value ever.
+    Oldest,
 }
 
 /// The store.
@@ -35,7 +37,7 @@
 struct State {
     revision: u64,
     records: BTreeMap<String, Record>,
-    before: BTreeMap<String, Record>,
+    before: BTreeMap<String, Vec<Record>>,
     reads: VecDeque<Option<Fault>>,
     writes: VecDeque<Option<Fault>>,
     held: Vec<Write>,
@@ -89,6 +91,10 @@
 }
 
 impl State {
+    fn before(&self, key: &str) -> Option<&[Record]> {
+        self.before.get(key).map(Vec::as_slice)
+    }
+
     fn apply(&mut self, write: Write) -> Outcome {
         self.written.push(write.clone());
         let current = self.records.get(&write.key).cloned();
@@ -106,7 +112,10 @@
         self.revision += 1;
         let revision = Revision(self.revision);
         if let Some(current) = current {
-            self.before.insert(write.key.clone(), current);
+            self.before
+                .entry(write.key.clone())
+                .or_default()
+                .push(current);
         }
         match write.value {
             None => drop(self.records.remove(&write.key)),
@@ -136,7 +145,8 @@
         yield_now().await;
         let mut state = self.state();
         match state.reads.pop_front().flatten() {
-            Some(Fault::Stale) => Ok(state.before.get(key).cloned()),
+            Some(Fault::Stale) => Ok(state.before(key).and_then(<[_]>::last).cloned()),
+            Some(Fault::Oldest) => Ok(state.before(key).and_then(<[_]>::first).cloned()),
             Some(_) => Err(unreachable()),
             None if state.down => Err(unreachable()),
             None => Ok(state.records.get(key).cloned()),
--- a/src/plan/tests/races.rs
+++ b/src/plan/tests/races.rs
@@ -33,6 +33,7 @@
         1 => Just(Some(Fault::WriteLost)),
         1 => Just(Some(Fault::WriteHeld)),
         1 => Just(Some(Fault::Stale)),
+        1 => Just(Some(Fault::Oldest)),
     ]
 }
 
