Add the node: entry, gate and peer in one process

Cause: the slices exist, but nothing runs them together. Ruled out: one runtime for calls and control, since then the processor time of control could not be told from that of calls.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod gate;
 pub mod headers;
 pub mod membership;
+pub mod node;
 pub mod peer;
 pub mod plan;
 pub mod routing;
--- /dev/null
+++ b/src/node/follow.rs
@@ -0,0 +1,89 @@
+//! Passes plan and view on to router and gate.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use crate::call::Admission;
+use crate::clock::Clock;
+use crate::gate;
+use crate::membership::{Handle, Situation};
+use crate::plan::{Plan, Version};
+use crate::routing::Router;
+use crate::telemetry::log::Identity;
+
+/// Follows the situation.
+pub struct Follower {
+    pub handle: Handle,
+    pub router: Arc<Mutex<Router>>,
+    pub admission: Arc<Admission>,
+    pub clock: Clock,
+    pub service: String,
+    pub zone: String,
+    pub identity: Identity,
+}
+
+impl Follower {
+    /// Follows until dropped.
+    pub async fn run(mut self) {
+        let mut followed = Followed::default();
+        loop {
+            let situation = self.handle.situation();
+            self.update_router(&situation);
+            if situation.plan.version > followed.version {
+                followed = self.take_up(&situation.plan, followed);
+            }
+            self.handle.changed().await;
+        }
+    }
+
+    fn update_router(&self, situation: &Situation) {
+        let now = self.clock.now();
+        let mut router = self.router.lock().unwrap_or_else(PoisonError::into_inner);
+        router.update(now, situation);
+    }
+
+    fn take_up(&self, plan: &Plan, before: Followed) -> Followed {
+        self.identity.set_plan(plan.version);
+        let in_service = is_in_service(plan, &self.zone);
+        if let Some(settings) = gate_settings(plan, &self.service) {
+            self.admission.configure(settings);
+        } else {
+            log::warn!(
+                "service {} is not in the plan; this backend server gets no work",
+                self.service
+            );
+        }
+        self.admission.set_zone(in_service);
+        log::info!("plan {} in force", plan.version);
+        if before.in_service != Some(in_service) {
+            let state = if in_service { "in" } else { "out of" };
+            log::info!("availability zone {} is {state} service", self.zone);
+        }
+        Followed {
+            version: plan.version,
+            in_service: Some(in_service),
+        }
+    }
+}
+
+/// What was passed on last.
+#[derive(Clone, Copy, Default)]
+struct Followed {
+    version: Version,
+    in_service: Option<bool>,
+}
+
+/// A zone that the plan does not list takes no work.
+fn is_in_service(plan: &Plan, zone: &str) -> bool {
+    let key = plan.zone_names.get(zone);
+    key.is_some_and(|&key| plan.zone(key).in_service)
+}
+
+fn gate_settings(plan: &Plan, service: &str) -> Option<gate::Settings> {
+    let &key = plan.service_names.get(service)?;
+    let service = plan.service(key);
+    Some(gate::Settings {
+        slots: service.slots,
+        cold: service.cold,
+        ..gate::Settings::default()
+    })
+}
--- /dev/null
+++ b/src/node/observe.rs
@@ -0,0 +1,127 @@
+//! Turns what the data path tells into metrics and spans.
+
+use std::time::SystemTime;
+
+use crate::call::{Duty, End, Event, Observer, Span};
+use crate::telemetry::metric::{Metrics, Name, tag};
+use crate::telemetry::trace::{Fact, Hop, Kind, Tracer};
+
+/// Metrics and spans of one node.
+#[derive(Clone, Debug)]
+pub struct Telemetry {
+    metrics: Metrics,
+    tracer: Tracer,
+}
+
+impl Telemetry {
+    /// Telemetry that sends to both.
+    pub const fn new(metrics: Metrics, tracer: Tracer) -> Self {
+        Self { metrics, tracer }
+    }
+
+    fn count_end(&self, span: &Span<'_>) {
+        let route = tag("route", span.route);
+        match span.end {
+            End::Answered(_) => self.metrics.count(Name::CallAnswered, 1, &[route]),
+            End::NotRun(reason) => {
+                let reason = tag("reason", reason.as_str());
+                self.metrics.count(Name::CallRefused, 1, &[route, reason]);
+            }
+            End::Unknown(_) => self.metrics.count(Name::CallUnknown, 1, &[route]),
+            End::Cancelled => {}
+        }
+        self.metrics.time(Name::CallTime, span.elapsed, &[route]);
+    }
+}
+
+impl Observer for Telemetry {
+    fn event(&self, event: Event) {
+        if !self.metrics.is_on() {
+            return;
+        }
+        let count = |name| self.metrics.count(name, 1, &[]);
+        match event {
+            Event::Received => count(Name::CallReceived),
+            Event::Retried => count(Name::CallAttempts),
+            Event::Recalled => count(Name::CallRecalled),
+            Event::Admitted { queue_time } => {
+                count(Name::GateAdmitted);
+                self.metrics.time(Name::GateQueueTime, queue_time, &[]);
+            }
+            Event::Answered { service_time } => {
+                self.metrics.time(Name::GateServiceTime, service_time, &[]);
+            }
+            Event::Refused(reason) => {
+                let reason = tag("reason", reason.as_str());
+                self.metrics.count(Name::Refused, 1, &[reason]);
+            }
+            Event::Rejected => count(Name::CallerRejected),
+            Event::LinkRejected => count(Name::PeerRejected),
+            Event::LinkOpened => count(Name::PeerOpened),
+            Event::FrameDropped => count(Name::PeerDropped),
+            Event::Cut => count(Name::AnswerCut),
+            Event::Cancelled => count(Name::CallCancelled),
+
+            Event::Connected | Event::Routed { .. } | Event::Lost(_) => {}
+        }
+    }
+
+    fn span(&self, span: &Span<'_>) {
+        if self.metrics.is_on() && span.duty == Duty::Entry {
+            self.count_end(span);
+        }
+        if self.tracer.is_on() {
+            self.tracer.record(hop(span));
+        }
+    }
+}
+
+fn hop(span: &Span<'_>) -> Hop {
+    let end = SystemTime::now();
+    Hop {
+        kind: kind(span.duty),
+        trace: span.trace.id,
+        parent: span.trace.parent,
+        span: span.trace.span,
+        sampled: span.trace.sampled,
+        start: end - span.elapsed,
+        end,
+        failure: failure(span.end),
+        facts: facts(span),
+    }
+}
+
+const fn kind(duty: Duty) -> Kind {
+    match duty {
+        Duty::Entry => Kind::Entry,
+        Duty::Attempt => Kind::Attempt,
+        Duty::Gate => Kind::Gate,
+    }
+}
+
+const fn failure(end: End) -> Option<&'static str> {
+    match end {
+        End::Answered(_) => None,
+        End::NotRun(reason) => Some(reason.as_str()),
+        End::Unknown(_) => Some("outcome unknown"),
+        End::Cancelled => Some("cancelled"),
+    }
+}
+
+fn facts(span: &Span<'_>) -> Vec<Fact> {
+    let mut facts = vec![
+        fact("service", span.service.to_owned()),
+        fact("route", span.route.to_owned()),
+    ];
+    if let End::Answered(status) = span.end {
+        facts.push(fact("status", status.as_u16().to_string()));
+    }
+    facts
+}
+
+fn fact(key: &'static str, value: String) -> Fact {
+    Fact {
+        key,
+        value: value.into(),
+    }
+}
--- /dev/null
+++ b/src/node/report.rs
@@ -0,0 +1,110 @@
+//! Gauges of a node, once a second.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::time::MissedTickBehavior;
+
+use super::control::Reading;
+use crate::call::Admission;
+use crate::gate::State;
+use crate::membership::Handle;
+use crate::plan::Version;
+use crate::telemetry::metric::{Metrics, Name, tag};
+
+/// Time between two reports.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Parts of a core in which processor time is reported.
+const CORE_SHARES: u128 = 10_000;
+
+/// Bytes of one page of memory.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Reports gauges and logs changes of the gate's state.
+pub struct Reporter {
+    pub handle: Handle,
+    pub admission: Arc<Admission>,
+    pub metrics: Metrics,
+    pub cpu: Reading,
+}
+
+struct Before {
+    plan: Version,
+    plan_since: Instant,
+    cpu: Duration,
+    state: Option<State>,
+}
+
+impl Reporter {
+    /// Reports until dropped.
+    pub async fn run(self) {
+        let mut interval = tokio::time::interval(INTERVAL);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut before = Before {
+            plan: Version::default(),
+            plan_since: Instant::now(),
+            cpu: self.cpu.total(),
+            state: None,
+        };
+        loop {
+            interval.tick().await;
+            self.log_state(&mut before);
+            if self.metrics.is_on() {
+                self.report_gate();
+                self.report_plan(&mut before);
+                self.report_process(&mut before);
+            }
+        }
+    }
+
+    fn log_state(&self, before: &mut Before) {
+        let state = self.admission.state();
+        if before.state != Some(state) {
+            log::info!("backend server is {state}");
+            before.state = Some(state);
+        }
+    }
+
+    fn report_gate(&self) {
+        let admission = &self.admission;
+        let state = admission.state().to_string();
+        let level = |name, value: u32| self.metrics.gauge(name, u64::from(value), &[]);
+        level(Name::GateInHand, admission.in_hand());
+        level(Name::GateQueued, admission.queued());
+        level(Name::GateLimit, admission.limit());
+        self.metrics
+            .gauge(Name::GateState, 1, &[tag("state", &state)]);
+    }
+
+    fn report_plan(&self, before: &mut Before) {
+        let situation = self.handle.situation();
+        if situation.plan.version != before.plan {
+            before.plan = situation.plan.version;
+            before.plan_since = Instant::now();
+        }
+        let instances = u64::try_from(situation.view.len()).unwrap_or(u64::MAX);
+        let metrics = &self.metrics;
+        metrics.gauge(Name::PlanVersion, before.plan.0, &[]);
+        metrics.gauge(Name::PlanAge, before.plan_since.elapsed().as_secs(), &[]);
+        metrics.gauge(Name::ViewInstances, instances, &[]);
+    }
+
+    fn report_process(&self, before: &mut Before) {
+        let cpu = self.cpu.total();
+        let spent = cpu.saturating_sub(before.cpu);
+        before.cpu = cpu;
+        let share = spent.as_micros() * CORE_SHARES / INTERVAL.as_micros();
+        let share = u64::try_from(share).unwrap_or(u64::MAX);
+        self.metrics.gauge(Name::ControlCpu, share, &[]);
+        if let Some(bytes) = resident_bytes() {
+            self.metrics.gauge(Name::Memory, bytes, &[]);
+        }
+    }
+}
+
+fn resident_bytes() -> Option<u64> {
+    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE_BYTES)
+}
