--- a/src/bin/monsooncove-sheet/app.rs
+++ b/src/bin/monsooncove-sheet/app.rs
@@ -11,6 +11,7 @@
 use monsooncove::store::http::{self, Http};
 
 use crate::exit::{Exit, Failure, Result};
+use crate::known::{self, Known};
 use crate::{apply, check, diff, paint, show, status};
 
 /// Longest time one attempt at the store may take.
@@ -36,11 +37,18 @@
         "apply" => apply::run(&client(matches), &apply_settings(matches)).await,
         "show" => show::run(&client(matches), version(matches, "at")).await,
         "history" => show::history(&client(matches), json(matches)).await,
-        "status" => status::run(&client(matches), json(matches)).await,
+        "status" => status::run(known(matches).await?, json(matches)).await,
         _ => Ok(Exit::Usage),
     }
 }
 
+async fn known(matches: &ArgMatches) -> Result<Known> {
+    match matches.get_one::<SocketAddr>("node") {
+        Some(&node) => known::from_node(node).await,
+        None => known::from_store(&client(matches)).await,
+    }
+}
+
 fn apply_settings(matches: &ArgMatches) -> apply::Settings<'_> {
     let limit: u32 = matches.get_one("wait-limit").copied().unwrap_or_default();
     apply::Settings {
--- a/src/bin/monsooncove-sheet/clap_app.rs
+++ b/src/bin/monsooncove-sheet/clap_app.rs
@@ -94,7 +94,14 @@
 fn status() -> Command {
     Command::new("status")
         .about("Show zones, services and backend servers, and which nodes are late")
-        .arg(store())
+        .arg(store().required(false).required_unless_present("node"))
+        .arg(
+            Arg::new("node")
+                .long("node")
+                .value_name("ADDR")
+                .value_parser(value_parser!(SocketAddr))
+                .help("Control address of a node to ask in place of the store"),
+        )
         .arg(json())
 }
 
--- a/src/bin/monsooncove-sheet/main.rs
+++ b/src/bin/monsooncove-sheet/main.rs
@@ -9,6 +9,7 @@
 mod file;
 mod fleet;
 mod group;
+mod known;
 mod paint;
 mod show;
 mod status;
--- a/src/bin/monsooncove-sheet/status.rs
+++ b/src/bin/monsooncove-sheet/status.rs
@@ -1,14 +1,13 @@
 //! `monsooncove-sheet status`
 
 use monsooncove::plan::Version;
-use monsooncove::plan::acceptance::{self, Current};
 use monsooncove::sheet::row::{Kind, Row};
-use monsooncove::store::Client;
 use serde::Serialize;
 
 use crate::exit::{Exit, Result};
 use crate::fleet::{self, Node};
 use crate::group::Group;
+use crate::known::Known;
 use crate::paint::{self, Colour, Painter};
 use crate::table::Table;
 
@@ -52,12 +51,10 @@
     limit: u32,
 }
 
-/// Shows what the store and the nodes say.
-pub async fn run(client: &impl Client, json: bool) -> Result<Exit> {
-    let current = acceptance::current(client).await?;
-    let instances = fleet::announced(client).await?;
-    let nodes = fleet::ask(instances.into_values().collect()).await;
-    let report = report(&current, &nodes);
+/// Shows what is known and what the nodes say.
+pub async fn run(known: Known, json: bool) -> Result<Exit> {
+    let nodes = fleet::ask(known.instances.clone()).await;
+    let report = report(&known, &nodes);
     if json {
         paint::json(&report);
     } else {
@@ -66,18 +63,18 @@
     Ok(Exit::Done)
 }
 
-fn report(current: &Current, nodes: &[Node]) -> Report {
+fn report(known: &Known, nodes: &[Node]) -> Report {
     Report {
-        version: current.version,
-        zones: zones(current, nodes),
-        services: services(current, nodes),
+        version: known.version,
+        zones: zones(known, nodes),
+        services: services(known, nodes),
         nodes: nodes.iter().map(line).collect(),
     }
 }
 
-fn zones(current: &Current, nodes: &[Node]) -> Vec<Zone> {
+fn zones(known: &Known, nodes: &[Node]) -> Vec<Zone> {
     let mut zones: Vec<Zone> = Vec::new();
-    for (key, row) in current.sheet.rows() {
+    for (key, row) in known.sheet.rows() {
         if let Row::Zone(zone) = row {
             let state = if zone.in_service { "in" } else { "out" };
             zones.push(new_zone(&key.name, &zone.region, state));
@@ -85,12 +82,12 @@
     }
     for node in nodes {
         let name = &node.instance.zone;
-        let known = zones.iter().position(|zone| zone.name == *name);
-        let index = known.unwrap_or_else(|| {
+        let named = zones.iter().position(|zone| zone.name == *name);
+        let index = named.unwrap_or_else(|| {
             zones.push(new_zone(name, &node.instance.region, "unknown"));
             zones.len() - 1
         });
-        zones[index].group.add(node, current.version);
+        zones[index].group.add(node, known.version);
     }
     zones.sort_by(|a, b| a.name.cmp(&b.name));
     zones
@@ -105,8 +102,8 @@
     }
 }
 
-fn services(current: &Current, nodes: &[Node]) -> Vec<Service> {
-    let rows = current.sheet.rows();
+fn services(known: &Known, nodes: &[Node]) -> Vec<Service> {
+    let rows = known.sheet.rows();
     let rows = rows.filter(|(key, _)| key.kind == Kind::Service);
     let declared = rows.map(|(key, _)| key.name.clone());
     let announced = nodes.iter().map(|node| node.instance.service.clone());
@@ -116,7 +113,7 @@
     names
         .into_iter()
         .map(|name| Service {
-            group: Group::of(nodes, current.version, |node| node.instance.service == name),
+            group: Group::of(nodes, known.version, |node| node.instance.service == name),
             name,
         })
         .collect()
--- a/tests/sheet_tool/fleet.rs
+++ b/tests/sheet_tool/fleet.rs
@@ -122,7 +122,25 @@
     });
 }
 
+fn store_outage() {
+    let mut session = Session::start();
+    let control = {
+        let node = node(&session, "odber-1", "odber", "morava-a", "serving");
+        until_announced(&session, 1);
+        session.run(&["apply", "-", "--wait"], &without("cechy-a"));
+        let situation = node.handle().situation();
+        let instance = situation.view.get("odber-1").expect("it knows itself");
+        instance.control.to_string()
+    };
+    session.faults(r#"{"down":true}"#);
+    session.run(&["status"], "");
+    session.run(&["status", "--node", &control], "");
+    session.run(&["status", "--node", "127.0.0.1:1"], "");
+    golden!(session);
+}
+
 cases! {
+    node_tells_the_status_while_the_store_is_down: store_outage();
     status_and_wait_tell_how_far_a_sheet_has_spread: spread();
     silent_node_is_named: silent_node();
 }
