--- a/src/bin/monsooncove-sheet/app.rs
+++ b/src/bin/monsooncove-sheet/app.rs
@@ -45,7 +45,12 @@
 async fn known(matches: &ArgMatches) -> Result<Known> {
     match matches.get_one::<SocketAddr>("node") {
         Some(&node) => known::from_node(node).await,
-        None => known::from_store(&client(matches)).await,
+        None => known::from_store(&client(matches))
+            .await
+            .map_err(|mut failure| {
+                failure.message += "; or ask a node with --node";
+                failure
+            }),
     }
 }
 
@@ -54,6 +59,7 @@
     apply::Settings {
         file: file(matches),
         base: version(matches, "base"),
+        after: version(matches, "after"),
         wait: matches
             .get_flag("wait")
             .then(|| Duration::from_secs(limit.into())),
--- a/src/bin/monsooncove-sheet/apply.rs
+++ b/src/bin/monsooncove-sheet/apply.rs
@@ -23,6 +23,8 @@
     pub file: &'a str,
     /// Version that has to be in force.
     pub base: Option<Version>,
+    /// Newest version that nodes follow, when the store has lost it.
+    pub after: Option<Version>,
     /// Longest time to wait for the nodes; not at all when absent.
     pub wait: Option<Duration>,
     /// Whether to print JSON.
@@ -43,9 +45,12 @@
     let sheet = file::sheet(settings.file)?;
     let asked = acceptance::Settings {
         base: settings.base,
+        after: settings.after.unwrap_or_default(),
         ..acceptance::Settings::default()
     };
-    let acceptance = acceptance::accept_with(client, &sheet, &asked).await?;
+    let acceptance = acceptance::accept_with(client, &sheet, &asked)
+        .await
+        .map_err(|error| failure(&error))?;
     let version = match &acceptance {
         Acceptance::Accepted { version, .. } | Acceptance::Same { version } => *version,
         Acceptance::Conflict(conflict) => return Err(refused(conflict, settings.json)),
@@ -66,6 +71,15 @@
     })
 }
 
+fn failure(error: &acceptance::Error) -> Failure {
+    match error {
+        acceptance::Error::Store(error) => {
+            Failure::new(Exit::Unknown, &format!("{error}; nothing was changed"))
+        }
+        _ => Failure::new(Exit::Unknown, error),
+    }
+}
+
 fn report(acceptance: &Acceptance, version: Version, spread: Option<&Spread>) {
     let (outcome, changes) = match acceptance {
         Acceptance::Accepted { delta, .. } => ("accepted", delta.changes.as_slice()),
--- a/src/bin/monsooncove-sheet/clap_app.rs
+++ b/src/bin/monsooncove-sheet/clap_app.rs
@@ -57,6 +57,11 @@
             version("base", "Refuse unless this version is in force")
                 .long_help("Refuse unless this version is in force, as diff printed it"),
         )
+        .arg(
+            version("after", "Number the sheet after this version").long_help(
+                "Number the sheet after this version, which nodes follow and the store has lost",
+            ),
+        )
         .arg(
             Arg::new("wait")
                 .long("wait")
--- a/src/bin/monsooncove-sheet/status.rs
+++ b/src/bin/monsooncove-sheet/status.rs
@@ -10,11 +10,14 @@
 use crate::known::Known;
 use crate::paint::{self, Colour, Painter};
 use crate::table::Table;
+use crate::wait;
 
 /// What `--json` prints.
 #[derive(Debug, Serialize)]
 struct Report {
     version: Version,
+    /// Newest version of a node, when the source does not know it.
+    ahead: Option<Version>,
     zones: Vec<Zone>,
     services: Vec<Service>,
     nodes: Vec<Line>,
@@ -66,12 +69,18 @@
 fn report(known: &Known, nodes: &[Node]) -> Report {
     Report {
         version: known.version,
+        ahead: newest(nodes).filter(|newest| *newest > known.version),
         zones: zones(known, nodes),
         services: services(known, nodes),
         nodes: nodes.iter().map(line).collect(),
     }
 }
 
+fn newest(nodes: &[Node]) -> Option<Version> {
+    let statuses = nodes.iter().filter_map(|node| node.status.as_ref());
+    statuses.map(|status| status.plan_version).max()
+}
+
 fn zones(known: &Known, nodes: &[Node]) -> Vec<Zone> {
     let mut zones: Vec<Zone> = Vec::new();
     for (key, row) in known.sheet.rows() {
@@ -142,8 +151,9 @@
         Version(0) => "no sheet has been accepted; put one in force with apply".to_owned(),
         version => format!("version {version} is in force"),
     };
+    let ahead = report.ahead.map(wait::ahead).unwrap_or_default();
     let parts = [
-        heading + "\n",
+        heading + "\n" + &ahead,
         zone_table(report, painter),
         service_table(report),
         late_table(report, painter),
--- a/src/bin/monsooncove-sheet/wait.rs
+++ b/src/bin/monsooncove-sheet/wait.rs
@@ -5,6 +5,7 @@
 
 use monsooncove::membership::Instance;
 use monsooncove::plan::Version;
+use monsooncove::plan::acceptance;
 use monsooncove::store::Client;
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
@@ -31,6 +32,8 @@
     pub zones: Vec<Zone>,
     /// Nodes that do not have it in force.
     pub late: Vec<String>,
+    /// Newest version of a node, when the store does not know it.
+    pub ahead: Option<Version>,
 }
 
 /// How far a version has spread in one zone.
@@ -65,7 +68,8 @@
     let mut watch = Watch::new(version, fleet::announced(client).await?);
     while !watch.is_complete() && watch.start.elapsed() < limit {
         watch.round().await;
-        if watch.is_complete() {
+        watch.compare_with_store(client).await;
+        if watch.is_complete() || watch.ahead().is_some() {
             break;
         }
         sleep(ROUND_PAUSE).await;
@@ -88,6 +92,10 @@
     refreshed: Instant,
     instances: BTreeMap<String, Instance>,
     in_force: BTreeMap<String, Duration>,
+    /// Newest version that the store is known to have.
+    stored: Version,
+    /// Newest version that a node follows.
+    followed: Version,
 }
 
 impl Watch {
@@ -99,6 +107,8 @@
             refreshed: now,
             instances,
             in_force: BTreeMap::new(),
+            stored: version,
+            followed: Version(0),
         }
     }
 
@@ -119,17 +129,29 @@
     async fn round(&mut self) {
         let late = self.late().cloned().collect();
         for node in fleet::ask(late).await {
-            let reached = |version| version >= self.version;
-            if node
-                .status
-                .is_some_and(|status| reached(status.plan_version))
-            {
+            let Some(status) = node.status else { continue };
+            self.followed = self.followed.max(status.plan_version);
+            if status.plan_version >= self.version {
                 let name = node.instance.name;
                 self.in_force.insert(name, self.start.elapsed());
             }
         }
     }
 
+    /// Nodes may follow a sheet that was accepted later.
+    async fn compare_with_store(&mut self, client: &impl Client) {
+        if self.followed > self.stored
+            && let Ok(current) = acceptance::current(client).await
+        {
+            self.stored = self.stored.max(current.version);
+        }
+    }
+
+    /// The version that nodes follow, when the store has never heard of it.
+    fn ahead(&self) -> Option<Version> {
+        Some(self.followed).filter(|followed| *followed > self.stored)
+    }
+
     fn spread(&self) -> Spread {
         let zones: BTreeSet<&str> = self
             .instances
@@ -137,10 +159,11 @@
             .map(|own| own.zone.as_str())
             .collect();
         Spread {
-            complete: self.is_complete(),
+            complete: self.is_complete() && self.ahead().is_none(),
             elapsed_ms: self.start.elapsed().as_millis(),
             zones: zones.into_iter().map(|zone| self.zone(zone)).collect(),
             late: self.late().map(|instance| instance.name.clone()).collect(),
+            ahead: self.ahead(),
         }
     }
 
@@ -170,18 +193,25 @@
             zone.after(),
         ]);
     }
-    let nodes: usize = spread.zones.iter().map(|zone| zone.nodes).sum();
-    let end = if spread.complete {
-        format!(
-            "in force on all {nodes} nodes after {} ms\n",
-            spread.elapsed_ms
-        )
-    } else {
-        let late = spread.late.join(", ");
-        format!(
-            "not in force after {} ms on: {late}; see status\n",
-            spread.elapsed_ms
-        )
-    };
-    table.to_string() + &end
+    table.to_string() + &verdict(spread)
+}
+
+fn verdict(spread: &Spread) -> String {
+    let elapsed = spread.elapsed_ms;
+    if let Some(version) = spread.ahead {
+        return ahead(version);
+    }
+    if spread.complete {
+        return format!("in force on every node after {elapsed} ms\n");
+    }
+    let late = spread.late.join(", ");
+    format!("not in force after {elapsed} ms on: {late}; see status\n")
+}
+
+/// What to do when nodes follow a version that the store does not know.
+pub fn ahead(version: Version) -> String {
+    format!(
+        "nodes follow version {version}, which the store has lost, and go back to no earlier \
+         one; apply the sheet again with --after {version}\n"
+    )
 }
--- a/src/plan/acceptance.rs
+++ b/src/plan/acceptance.rs
@@ -24,6 +24,9 @@
     pub write_id: WriteId,
     /// Version the operator's change was made for; any when absent.
     pub base: Option<Version>,
+    /// Newest version that nodes are known to follow, in case the store has
+    /// lost it. Nodes never go back, so the sheet must get a higher one.
+    pub after: Version,
     /// How often a lost answer is followed up.
     pub settle_attempts: u32,
     /// Pause before the first follow-up; doubles with each.
@@ -35,6 +38,7 @@
         Self {
             write_id: WriteId(rand::random()),
             base: None,
+            after: Version(0),
             settle_attempts: 6,
             settle_pause: Duration::from_millis(50),
         }
@@ -74,7 +78,7 @@
 /// Why nothing is known to have been accepted.
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub enum Error {
-    /// {0}; nothing was changed
+    /// {0}
     Store(store::Error),
     /// it is not known whether the sheet took effect ({0}); run diff, which tells, before applying again
     Unknown(store::Error),
@@ -160,7 +164,8 @@
     settings: &Settings,
 ) -> Result<Acceptance, Error> {
     let current = current(client).await?;
-    if current.stored.is_some() && current.sheet == *sheet {
+    let known = current.stored.is_some() && current.version >= settings.after;
+    if known && current.sheet == *sheet {
         return Ok(Acceptance::Same {
             version: current.version,
         });
@@ -270,7 +275,8 @@
         let base = current.stored.as_ref();
         let before = base.map(|stored| stored.head.clone()).unwrap_or_default();
         let delta = current.sheet.diff(sheet);
-        let head = before.successor(write_id, digest, text, delta);
+        let version = Version(before.version.max(settings.after).0 + 1);
+        let head = before.successor(version, write_id, digest, text, delta);
         let value = serde_json::to_string(&head).map_err(|error| store::Error::Refused {
             cause: error.to_string(),
         })?;
@@ -344,14 +350,17 @@
         if head.version_of(self.settings.write_id).is_some() {
             return Ok(Sent::Settled(Settled::InForce));
         }
-        let base = Version(self.head.version.0 - 1);
-        if head.remembers_since(base) {
+        if head.remembers_since(self.base_version()) {
             Ok(Sent::Settled(Settled::Lost(Some(stored))))
         } else {
             Ok(Sent::unknown("too many sheets were accepted since"))
         }
     }
 
+    fn base_version(&self) -> Version {
+        self.base.map_or(Version(0), |stored| stored.head.version)
+    }
+
     /// Removes parts that no reader can still need. What stays behind after a
     /// failure takes room and does no harm.
     async fn tidy(&self, client: &impl Client) {
--- a/src/plan/head.rs
+++ b/src/plan/head.rs
@@ -84,13 +84,20 @@
 impl Head {
     /// The head that puts a sheet in force after this one.
     #[must_use]
-    pub fn successor(&self, write_id: WriteId, digest: u64, text: Text, delta: Delta) -> Self {
+    pub fn successor(
+        &self,
+        version: Version,
+        write_id: WriteId,
+        digest: u64,
+        text: Text,
+        delta: Delta,
+    ) -> Self {
         let (text, parts) = match text {
             Text::Inline(text) => (Some(text), Vec::new()),
             Text::Parts(keys) => (None, keys),
         };
         Self {
-            version: Version(self.version.0 + 1),
+            version,
             write_id,
             digest,
             text,
--- a/src/plan/tests/acceptance.rs
+++ b/src/plan/tests/acceptance.rs
@@ -184,6 +184,20 @@
         store.reads([None, Some(Fault::Oldest)]);
         assert_eq!(accepted(accept(&store, &example::farm()).await), Version(3));
     });
+    sheet_is_numbered_after_versions_that_the_store_has_lost: run(async {
+        let store = store_with_farm().await;
+        let known_to_nodes = Settings { after: Version(40), ..settings(9) };
+        let same = accept_with(&store, &example::farm(), &known_to_nodes).await;
+        assert_eq!(accepted(same), Version(41));
+        let next = accept(&store, &farm_with("morava-a", "out")).await;
+        assert_eq!(accepted(next), Version(42));
+    });
+    version_that_the_store_knows_changes_no_number: run(async {
+        let store = store_with_farm().await;
+        let known_to_nodes = Settings { after: Version(1), ..settings(9) };
+        let next = accept_with(&store, &farm_with("morava-a", "out"), &known_to_nodes).await;
+        assert_eq!(accepted(next), Version(2));
+    });
     of_zones_taken_out_at_the_same_time_one_stays_in: run(async {
         let store = store_with_farm().await;
         let a = farm_with("morava-a", "out");
--- a/tests/sheet_tool/fleet.rs
+++ b/tests/sheet_tool/fleet.rs
@@ -4,6 +4,7 @@
 use monsooncove::plan::{Plan, Version};
 use monsooncove::sheet::{self, example};
 use monsooncove::store::http::{self, Http};
+use monsooncove::store::{Client, Expect, Write, WriteId};
 use tokio::net::TcpListener;
 
 use crate::session::{Session, finish, golden};
@@ -103,14 +104,37 @@
     golden!(session);
 }
 
+/// The store comes back empty while a node follows version 2.
+fn lost_plan() {
+    let mut session = Session::start();
+    let _node = node(&session, "odber-1", "odber", "morava-a", "serving");
+    until_announced(&session, 1);
+    session.run(&["apply", "-"], example::FARM);
+    session.run(&["apply", "-", "--wait"], &without("morava-a"));
+    delete_head(&session);
+    session.run(&["apply", "-", "--wait"], &without("cechy-a"));
+    session.run(&["status"], "");
+    let after = ["apply", "-", "--after", "2", "--wait"];
+    session.run(&after, &without("cechy-a"));
+    golden!(session);
+}
+
+fn delete_head(session: &Session) {
+    write(session, monsooncove::plan::head::HEAD_KEY, None);
+}
+
 /// Announces an instance whose control address accepts and never answers.
 fn announce(session: &Session, silent: &TcpListener) {
-    use monsooncove::store::{Client, Expect, Write, WriteId};
     let control = silent.local_addr().expect("it is bound");
     let instance = instance("odber-2", "odber", "slezsko-a", control);
+    let key = format!("{}{}", membership::INSTANCE_PREFIX, instance.name);
+    write(session, &key, serde_json::to_string(&instance).ok());
+}
+
+fn write(session: &Session, key: &str, value: Option<String>) {
     let write = Write {
-        key: format!("{}{}", membership::INSTANCE_PREFIX, instance.name),
-        value: serde_json::to_string(&instance).ok(),
+        key: key.into(),
+        value,
         expect: Expect::Anything,
         lease: None,
         id: WriteId(1),
@@ -140,6 +164,7 @@
 }
 
 cases! {
+    plan_that_the_store_has_lost_is_noticed: lost_plan();
     node_tells_the_status_while_the_store_is_down: store_outage();
     status_and_wait_tell_how_far_a_sheet_has_spread: spread();
     silent_node_is_named: silent_node();
