--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -280,6 +280,10 @@
         let service_time = call.service_time();
         self.observer.event(Event::Answered { service_time });
         hop::strip(&mut head.headers);
+        for own in [headers::OUTCOME, headers::REASON, headers::SERVE_AT] {
+            // Only an entry may say these of this call.
+            head.headers.remove(own);
+        }
         let body = Tracked::new(body, call).boxed_unsync();
         Outcome::Answered(Response::from_parts(head, body))
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -50,7 +50,7 @@
 mod server;
 mod settings;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -171,9 +171,7 @@
 /// Refuses what nodes and backend servers could read in two ways.
 fn check_form(head: &Head) -> Result<(), Reason> {
     let several_hosts = head.headers.get_all(header::HOST).iter().count() > 1;
-    let both_lengths = head.headers.contains_key(header::CONTENT_LENGTH)
-        && head.headers.contains_key(header::TRANSFER_ENCODING);
-    if several_hosts || both_lengths || head.method == Method::CONNECT {
+    if several_hosts || head.method == Method::CONNECT {
         return Err(Reason::Malformed);
     }
     Ok(())
--- /dev/null
+++ b/src/entry/tests/drain.rs
@@ -0,0 +1,118 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::{Method, Request};
+use http_body::Frame;
+use http_body_util::StreamBody;
+
+use super::world::{BackendServer, DESK, OK, Step, World, collect, run, start};
+
+const SLOW: Step = Step::After(
+    Duration::from_millis(200),
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+);
+
+async fn seen_by(server: &BackendServer) {
+    while server.seen().is_empty() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn running_call_is_finished() {
+    let server = BackendServer::start(&[SLOW]).await;
+    let world = World::start(&[&server]).await;
+    let shutdowns = [&world.front, &world.desks[0]].map(|node| node.shutdown.clone());
+    let stop = async {
+        seen_by(&server).await;
+        for shutdown in &shutdowns {
+            shutdown.cancel();
+        }
+    };
+    let (answer, ()) = tokio::join!(world.call(Method::POST, "/orders", ""), stop);
+    assert_eq!(answer.body.as_deref(), Ok("ok"));
+    let World { front, desks } = world;
+    front.stop().await;
+    for desk in desks {
+        desk.stop().await;
+    }
+}
+
+async fn long_upload_is_finished() {
+    let server = BackendServer::start(&[OK]).await;
+    let world = World::start(&[&server]).await;
+    let shutdowns = [&world.front, &world.desks[0]].map(|node| node.shutdown.clone());
+    let parts = stream::iter(0..10).then(move |part| {
+        let shutdowns = shutdowns.clone();
+        async move {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            if part == 5 {
+                shutdowns
+                    .iter()
+                    .for_each(tokio_util::sync::CancellationToken::cancel);
+            }
+            Ok::<_, std::io::Error>(Frame::data(Bytes::from(vec![b'e'; 20_000])))
+        }
+    });
+    let request = Request::post("/orders").header("host", DESK);
+    let request = request.header("content-length", "200000");
+    let request = request
+        .body(StreamBody::new(Box::pin(parts)))
+        .expect("a request");
+    let response = start(world.front.instance.caller, request)
+        .await
+        .expect("a head");
+    let answer = collect(response).await;
+    assert_eq!(answer.body.as_deref(), Ok("ok"));
+    assert!(server.seen()[0].len() > 200_000);
+    let World { front, desks } = world;
+    front.stop().await;
+    for desk in desks {
+        desk.stop().await;
+    }
+}
+
+async fn draining_gate_sends_calls_elsewhere() {
+    let first = BackendServer::start(&[OK]).await;
+    let second = BackendServer::start(&[OK]).await;
+    let world = World::start(&[&first, &second]).await;
+    world.desks[0].admission.drain();
+    for _ in 0..20 {
+        let answer = world.call(Method::POST, "/orders", "").await;
+        assert_eq!(answer.status, 200);
+    }
+    assert!(first.seen().is_empty());
+    assert_eq!(second.seen().len(), 20);
+}
+
+async fn node_stops_under_load() {
+    let first = BackendServer::start(&[SLOW]).await;
+    let second = BackendServer::start(&[SLOW]).await;
+    let mut world = World::start(&[&first, &second]).await;
+    let leaving = world.desks.remove(0);
+    let calls = stream::iter(0..30)
+        .map(|at| {
+            let world = &world;
+            async move {
+                tokio::time::sleep(Duration::from_millis(at * 20)).await;
+                world.call(Method::POST, "/orders", "").await.status
+            }
+        })
+        .buffer_unordered(30)
+        .collect::<Vec<_>>();
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        leaving.admission.drain();
+        leaving.stop().await;
+    };
+    let (statuses, ()) = tokio::join!(calls, stop);
+    assert_eq!(statuses, vec![200; 30]);
+    assert_eq!(first.seen().len() + second.seen().len(), 30);
+}
+
+cases! {
+    running_call_outlives_the_stop: run(running_call_is_finished());
+    long_upload_outlives_the_stop: run(long_upload_is_finished());
+    draining_gate_is_passed_over: run(draining_gate_sends_calls_elsewhere());
+    stop_under_load_cuts_no_call: run(node_stops_under_load());
+}
--- a/src/peer/answer.rs
+++ b/src/peer/answer.rs
@@ -11,7 +11,7 @@
 use crate::call::{Cut, Event, Observer};
 
 use super::inbound::{Ended, Inbound};
-use super::links::Down;
+use super::links::{Active, Down};
 use super::outbound::Outbound;
 use super::upload::Uploading;
 use super::wire::{self, Raw, Trailers, kind};
@@ -30,6 +30,7 @@
 pub struct Answer {
     inbound: Option<Inbound>,
     uplink: Uplink,
+    _active: Active,
     observer: Arc<dyn Observer>,
 }
 
@@ -41,12 +42,13 @@
 
 impl Answer {
     pub(super) fn new(down: Down, uplink: Uplink, observer: Arc<dyn Observer>) -> Self {
-        let inbound = match down {
-            Down::Reading(inbound) => Some(inbound),
-            Down::Waiting(_) => None,
+        let (inbound, active) = match down {
+            Down::Reading(inbound, active) => (Some(inbound), active),
+            Down::Waiting(_, active) => (None, active),
         };
         Self {
             inbound,
+            _active: active,
             uplink,
             observer,
         }
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -85,6 +85,7 @@
             address,
             cause: error.to_string(),
         };
+        let active = peer.active();
         let mut request = Request::new(());
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(CALL_PATH);
@@ -95,7 +96,7 @@
             .map_err(|_| down(&"the stream closed at once"))?;
         Ok(Stream {
             up,
-            down: Down::Waiting(response),
+            down: Down::Waiting(response, active),
         })
     }
 
@@ -148,7 +149,7 @@
         let peer = Arc::clone(peer);
         let number = link.number;
         tokio::spawn(async move {
-            drive(connection, settings).await;
+            drive(connection, settings, &peer).await;
             peer.forget(number);
         });
         Ok(link)
@@ -172,21 +173,24 @@
 }
 
 /// Runs a link until it closes or stops answering pings.
-async fn drive(mut connection: Connection<TcpStream, Bytes>, settings: Settings) {
+async fn drive(mut connection: Connection<TcpStream, Bytes>, settings: Settings, peer: &Peer) {
     let Some(pings) = connection.ping_pong() else {
         let _ = connection.await;
         return;
     };
     tokio::select! {
         _ = connection => {}
-        () = silence(pings, settings) => {}
+        () = silence(pings, settings, peer) => {}
     }
 }
 
-/// Returns when a ping was not answered.
-async fn silence(mut pings: PingPong, settings: Settings) {
+/// Returns when a ping was not answered. Links without calls are not pinged.
+async fn silence(mut pings: PingPong, settings: Settings, peer: &Peer) {
     loop {
         sleep(settings.ping_interval).await;
+        if Arc::strong_count(&peer.calls) == 1 {
+            continue;
+        }
         let answered = timeout(settings.ping_timeout, pings.ping(Ping::opaque())).await;
         if !matches!(answered, Ok(Ok(_))) {
             return;
@@ -200,8 +204,13 @@
     link: Mutex<Option<Link>>,
     connecting: tokio::sync::Mutex<()>,
     links: AtomicU64,
+    /// One more holder for every call.
+    calls: Arc<()>,
 }
 
+/// Held by a call as long as it is on the link.
+pub(super) type Active = Arc<()>;
+
 #[derive(Clone)]
 struct Link {
     number: u64,
@@ -215,9 +224,14 @@
             link: Mutex::new(None),
             connecting: tokio::sync::Mutex::new(()),
             links: AtomicU64::new(0),
+            calls: Arc::new(()),
         }
     }
 
+    fn active(&self) -> Active {
+        Arc::clone(&self.calls)
+    }
+
     fn current(&self) -> Option<Link> {
         lock(&self.link).clone()
     }
@@ -251,22 +265,25 @@
 /// Frames from the gate.
 pub(super) enum Down {
     /// Nothing has come yet.
-    Waiting(ResponseFuture),
+    Waiting(ResponseFuture, Active),
     /// The stream has begun.
-    Reading(Inbound),
+    Reading(Inbound, Active),
 }
 
 impl Down {
     pub(super) async fn next(&mut self) -> Result<Raw, Ended> {
-        if let Self::Waiting(response) = self {
+        if let Self::Waiting(response, active) = self {
             match response.await {
-                Ok(response) => *self = Self::Reading(Inbound::new(response.into_body())),
+                Ok(response) => {
+                    let inbound = Inbound::new(response.into_body());
+                    *self = Self::Reading(inbound, Arc::clone(active));
+                }
                 Err(error) => return Err(Ended::Broken(error.reason())),
             }
         }
         match self {
-            Self::Reading(inbound) => inbound.next().await,
-            Self::Waiting(_) => Err(Ended::Broken(None)),
+            Self::Reading(inbound, _) => inbound.next().await,
+            Self::Waiting(..) => Err(Ended::Broken(None)),
         }
     }
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -38,6 +38,8 @@
 mod server;
 mod settings;
 mod stream;
+#[cfg(test)]
+mod tests;
 mod upload;
 pub mod wire;
 
