--- a/src/plan/tests/fake.rs
+++ b/src/plan/tests/fake.rs
@@ -4,6 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::task::yield_now;
+
 use crate::store::{
     Client, Error, Expect, Lease, Listing, Outcome, Record, Result, Revision, Watched, Write,
 };
@@ -21,6 +23,8 @@
     WriteHeld,
     /// A read is answered with the value before the last write.
     Stale,
+    /// A read is answered with the first value ever.
+    Oldest,
 }
 
 /// The store.
@@ -33,12 +37,13 @@
 struct State {
     revision: u64,
     records: BTreeMap<String, Record>,
-    before: BTreeMap<String, Record>,
+    before: BTreeMap<String, Vec<Record>>,
     reads: VecDeque<Option<Fault>>,
     writes: VecDeque<Option<Fault>>,
     held: Vec<Write>,
     down: bool,
     written: Vec<Write>,
+    applied: Vec<Write>,
 }
 
 impl Store {
@@ -74,6 +79,11 @@
         self.state().written.clone()
     }
 
+    /// Writes that took effect.
+    pub fn applied(&self) -> Vec<Write> {
+        self.state().applied.clone()
+    }
+
     /// Keys that exist.
     pub fn keys(&self) -> Vec<String> {
         self.state().records.keys().cloned().collect()
@@ -81,6 +91,10 @@
 }
 
 impl State {
+    fn before(&self, key: &str) -> Option<&[Record]> {
+        self.before.get(key).map(Vec::as_slice)
+    }
+
     fn apply(&mut self, write: Write) -> Outcome {
         self.written.push(write.clone());
         let current = self.records.get(&write.key).cloned();
@@ -94,10 +108,14 @@
         if !holds {
             return Outcome::NotApplied(current);
         }
+        self.applied.push(write.clone());
         self.revision += 1;
         let revision = Revision(self.revision);
         if let Some(current) = current {
-            self.before.insert(write.key.clone(), current);
+            self.before
+                .entry(write.key.clone())
+                .or_default()
+                .push(current);
         }
         match write.value {
             None => drop(self.records.remove(&write.key)),
@@ -124,9 +142,11 @@
 
 impl Client for Store {
     async fn get(&self, key: &str) -> Result<Option<Record>> {
+        yield_now().await;
         let mut state = self.state();
         match state.reads.pop_front().flatten() {
-            Some(Fault::Stale) => Ok(state.before.get(key).cloned()),
+            Some(Fault::Stale) => Ok(state.before(key).and_then(<[_]>::last).cloned()),
+            Some(Fault::Oldest) => Ok(state.before(key).and_then(<[_]>::first).cloned()),
             Some(_) => Err(unreachable()),
             None if state.down => Err(unreachable()),
             None => Ok(state.records.get(key).cloned()),
@@ -146,6 +166,7 @@
     }
 
     async fn write(&self, write: Write) -> Result<Outcome> {
+        yield_now().await;
         let mut state = self.state();
         match state.writes.pop_front().flatten() {
             Some(Fault::AnswerLost) => {
--- a/src/sheet/tests/mod.rs
+++ b/src/sheet/tests/mod.rs
@@ -1,4 +1,6 @@
 mod delta;
+mod documentation;
 mod examples;
 mod faults;
 mod formats;
+mod properties;
