Balance who monitors whom

Cause: with monitors by rendezvous score alone, the number of instances one node watches varies like balls in bins. Ruled out: the spread of sheets, which adds 500 bytes/s at a sheet a second, and relays, which were counted apart. Change: monitors are the nodes before an instance in the circle of its zone and those at its place in the circle beside, so every node watches four. The store now counts the bytes it sends.

--- a/src/bench/slopes/control/phase.rs
+++ b/src/bench/slopes/control/phase.rs
@@ -42,6 +42,8 @@
     pub writes_per_s: f64,
     /// Watches waiting.
     pub waiting: u64,
+    /// Bytes of the bodies sent, a second, for each watch that waits.
+    pub bytes_per_watch_s: f64,
 }
 
 /// Costs of accepted sheets.
@@ -302,6 +304,7 @@
             reads_per_s: rate(Counters::total_reads),
             writes_per_s: rate(Counters::total_writes),
             waiting: after.waiting,
+            bytes_per_watch_s: rate(|counters| counters.bytes_out) / as_float(after.waiting.max(1)),
         }
     }
 }
--- a/src/membership/tests/lattice.rs
+++ b/src/membership/tests/lattice.rs
@@ -172,6 +172,16 @@
             assert_eq!((own.len(), beside.len()), (2, 2));
         }
     };
+    every_instance_watches_four_others: {
+        let entries: Vec<Entry> = (0..40)
+            .map(|n| entry(&format!("n{n}"), ["a", "b"][n % 2], 1, Standing::Present))
+            .collect();
+        let roster = merged(entries.iter());
+        for watching in &entries {
+            let topology = Topology::new(watching.id(), &roster);
+            assert_eq!(topology.targets.len(), 4);
+        }
+    };
     renewals_of_the_whole_fleet_stay_under_one_rate: {
         let settings = Settings::default();
         for nodes in [6_u32, 96, 850, 5_000] {
--- a/src/membership/topology.rs
+++ b/src/membership/topology.rs
@@ -89,17 +89,28 @@
         recipients
     }
 
-    /// Monitors of an instance.
+    /// Monitors of an instance: the nodes before it in the circle of its own
+    /// zone, and those at the same place in the circle of the zone beside.
+    /// Every node so watches, and is watched by, nearly the same number.
     #[must_use]
     pub fn monitors_of(&self, id: Id) -> Vec<Id> {
         let Some(place) = self.places.get(&id) else {
             return Vec::new();
         };
-        let own = self.zones.get(place).into_iter().flatten();
-        let mut monitors = best(own, id, MONITORS_PER_ZONE);
+        let nobody = Vec::new();
+        let own = self.zones.get(place).unwrap_or(&nobody);
+        let position = own.partition_point(|other| *other < id);
+        let mut monitors: Vec<Id> = Vec::with_capacity(2 * MONITORS_PER_ZONE);
+        let before = own[..position].iter().rev();
+        let after = own[position..].iter().rev();
+        let others = before.chain(after).filter(|other| **other != id);
+        monitors.extend(others.take(MONITORS_PER_ZONE));
         let beside = self.zone_beside(place);
-        let beside = beside.and_then(|place: &Place| self.zones.get(place));
-        monitors.extend(best(beside.into_iter().flatten(), id, MONITORS_PER_ZONE));
+        if let Some(beside) = beside.and_then(|place| self.zones.get(place)) {
+            let start = position * beside.len() / own.len().max(1);
+            let from_start = beside.iter().cycle().skip(start);
+            monitors.extend(from_start.take(MONITORS_PER_ZONE.min(beside.len())));
+        }
         if monitors.len() < WITNESSES {
             let all = self.zones.values().flatten();
             let others = all.filter(|other| !monitors.contains(other));
--- a/src/standin/store/counters.rs
+++ b/src/standin/store/counters.rs
@@ -25,6 +25,8 @@
     pub limited: u64,
     /// Bytes of the bodies received.
     pub bytes_in: u64,
+    /// Bytes of the bodies sent.
+    pub bytes_out: u64,
 }
 
 impl Counters {
--- a/src/standin/store/service.rs
+++ b/src/standin/store/service.rs
@@ -8,7 +8,7 @@
 use displaydoc::Display;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::watch;
@@ -228,18 +228,24 @@
         return Ok(status(StatusCode::TOO_MANY_REQUESTS));
     }
     store.suffer_faults().await?;
-    let answer = match path {
-        protocol::GET | protocol::LIST => read(store, path, body),
+    let answer = answer_call(store, path, body).await?;
+    let bytes = answer.body().size_hint().lower();
+    store.lock().counters.bytes_out += bytes;
+    Ok(answer)
+}
+
+async fn answer_call(store: &Store, path: &str, body: &Bytes) -> Answer {
+    match path {
+        protocol::GET | protocol::LIST => Ok(read(store, path, body)),
         protocol::WATCH => match parse::<protocol::Watch>(body) {
             Ok(watch) => {
                 let _waiting = Waiting::new(store);
-                json(&store.watch(watch).await?)
+                Ok(json(&store.watch(watch).await?))
             }
-            Err(code) => status(code),
+            Err(code) => Ok(status(code)),
         },
-        _ => write(store, path, body)?,
-    };
-    Ok(answer)
+        _ => write(store, path, body),
+    }
 }
 
 /// Counts a call; tells whether the rate limit lets it pass.
