--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,13 +9,17 @@
 #[macro_use]
 mod cases;
 
+pub mod backend;
 pub mod bench;
 pub mod call;
 pub mod clock;
+pub mod entry;
 pub mod error;
 pub mod gate;
 pub mod headers;
 pub mod membership;
+pub mod node;
+pub mod peer;
 pub mod plan;
 pub mod routing;
 pub mod settings;
