--- a/src/bench/promises.rs
+++ b/src/bench/promises.rs
@@ -135,8 +135,8 @@
         let budget = MEASURING_BYTES_PER_SECOND * (elapsed.as_secs() + 1);
         for checks in all {
             let over_budget = checks.measured * MEASUREMENT_BYTES > budget;
-            let zone_out = checks.zone_out_within + checks.zone_out_late;
-            let leaving = checks.leaving_within + checks.leaving_late;
+            let zone_out = checks.zone_outs + checks.zone_out_within + checks.zone_out_late;
+            let leaving = checks.drains + checks.leaving_within + checks.leaving_late;
             self.add(Promise::Measuring, 1, over_budget.into());
             self.add(Promise::ColdStart, checks.cold_received, checks.cold_over);
             self.add(Promise::ZoneOut, zone_out, checks.zone_out_late);
--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -1,12 +1,12 @@
 //! What a run shows: a table for people, one JSON object for programs.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Write};
 
 use serde::Serialize;
 
 use super::promises::{Ledger, Promise};
-use crate::standin::caller::{Books, Row};
+use crate::standin::caller::{Books, Ending, Row};
 
 /// The figures of one run.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -77,6 +77,25 @@
     pub fn figures(&self) -> Figures {
         Figures::new(&self.books.row(|_| true), self.ledger)
     }
+
+    fn write_reasons(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut reasons: BTreeMap<String, u64> = BTreeMap::new();
+        for entry in self.books.entries() {
+            let reason = match &entry.ending {
+                Ending::Refused(reason) => format!("not run: {reason}"),
+                Ending::Unknown(reason) => format!("unknown: {reason}"),
+                Ending::Answered | Ending::Lost | Ending::Mixed | Ending::Cut => continue,
+            };
+            *reasons.entry(reason).or_default() += 1;
+        }
+        if !reasons.is_empty() {
+            writeln!(f, "\n{:<60} {:>8}", "calls without an answer", "calls")?;
+        }
+        for (reason, count) in reasons {
+            writeln!(f, "{reason:<60} {count:>8}")?;
+        }
+        Ok(())
+    }
 }
 
 impl fmt::Display for Report<'_> {
@@ -92,6 +111,7 @@
             write_row(f, route, &row)?;
         }
         write_row(f, "all", &self.books.row(|_| true))?;
+        self.write_reasons(f)?;
         f.write_char('\n')?;
         f.write_str(
             "what must always hold                                         checked violated\n",
--- a/src/standin/backend/checks.rs
+++ b/src/standin/backend/checks.rs
@@ -17,10 +17,14 @@
     pub cold_received: u64,
     /// Of these, received above the allowance.
     pub cold_over: u64,
+    /// Orders to expect no work for the zone.
+    pub zone_outs: u64,
     /// Requests received while the zone was out, within the time allowed.
     pub zone_out_within: u64,
     /// Requests received while the zone was out, later than allowed.
     pub zone_out_late: u64,
+    /// Orders to drain.
+    pub drains: u64,
     /// Requests received while draining, within the time allowed.
     pub leaving_within: u64,
     /// Requests received while draining, later than allowed.
--- a/src/standin/backend/server.rs
+++ b/src/standin/backend/server.rs
@@ -180,12 +180,14 @@
     /// Follows an order or a fault.
     pub fn control(&mut self, now: Time, control: Control) {
         if let Some(ms) = control.zone_out_after_ms {
+            self.checks.zone_outs += 1;
             self.zone_out_from = Some(now + Duration::from_millis(ms));
         }
         if control.zone_in {
             self.zone_out_from = None;
         }
         if let Some(ms) = control.drain_grace_ms {
+            self.checks.drains += 1;
             self.draining_from = Some(now + Duration::from_millis(ms));
         }
         if control.restart {
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,34 @@
+//! A backend server that is leaving receives no new work after a few seconds.
+
+mod common;
+
+use common::{MORAVA_A, MORAVA_B, Setup, World, assert_held, pause};
+use monsooncove::bench::promises::Promise;
+use monsooncove::standin::backend::Control;
+
+/// Time after which work counts as late.
+const GRACE_MS: u64 = 2_000;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_backend_servers_get_no_work_though_health_lags_and_a_node_restarts() {
+    let mut world = World::start(Setup::default()).await;
+    let calls = world.call(world.kinds(&["calendar", "order-place"]), 150.0, 6);
+    pause(500).await;
+    let draining = Control {
+        drain_grace_ms: Some(GRACE_MS),
+        ..Control::default()
+    };
+    let misleading = Control {
+        health: Some("serving".into()),
+        ..draining.clone()
+    };
+    world.control(MORAVA_A, misleading).await;
+    world.control(MORAVA_B, draining).await;
+    pause(500).await;
+    world.fleet.kill_node(MORAVA_B).await.unwrap();
+    world.fleet.start_node(MORAVA_B).await.unwrap();
+    let books = calls.await.unwrap();
+    let ledger = world.settle(&books).await;
+    assert_held(&ledger, Promise::Leaving);
+    assert_held(&ledger, Promise::NotRun);
+}
