--- a/src/bench/demo.rs
+++ b/src/bench/demo.rs
@@ -3,6 +3,7 @@
 mod script;
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
@@ -124,18 +125,28 @@
 ///
 /// Fails when that takes too long.
 pub async fn wait_until_in_force(fleet: &Fleet, version: Version) -> io::Result<()> {
+    let nodes = fleet.upstreams().iter();
+    let waiting = nodes.map(|upstream| wait_until_node_has(upstream.ready.control, version));
+    futures::future::try_join_all(waiting).await?;
+    Ok(())
+}
+
+/// Waits until a node has `version` in force.
+///
+/// # Errors
+///
+/// Fails when that takes too long.
+pub async fn wait_until_node_has(node: Option<SocketAddr>, version: Version) -> io::Result<()> {
     let waiting = async {
-        for upstream in fleet.upstreams() {
-            while !has_in_force(upstream.ready.control, version).await {
-                tokio::time::sleep(START_POLL_INTERVAL).await;
-            }
+        while !has_in_force(node, version).await {
+            tokio::time::sleep(START_POLL_INTERVAL).await;
         }
     };
     let waited = tokio::time::timeout(START_TIMEOUT, waiting).await;
     waited.map_err(|_| io::Error::other("the plan is not in force everywhere in time"))
 }
 
-async fn has_in_force(node: Option<std::net::SocketAddr>, version: Version) -> bool {
+async fn has_in_force(node: Option<SocketAddr>, version: Version) -> bool {
     let Some(node) = node else { return true };
     let status = monitor::status(node).await;
     status.is_ok_and(|status| status.plan_version >= version)
--- a/tests/common/session.rs
+++ b/tests/common/session.rs
@@ -9,7 +9,9 @@
 use tokio::net::TcpStream;
 
 /// Patterns of what differs from run to run, with what stands in their place.
-const MASKS: [(&str, &str); 6] = [
+const MASKS: [(&str, &str); 8] = [
+    (r"backend-boot: [^\n]*", "backend-boot: [boot]"),
+    (r"x-ran-in: [^\n]*", "x-ran-in: [region]"),
     (r"127\.0\.0\.1:\d+", "[address]"),
     (r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z?", "[time]"),
     (r"date: [^\n]*", "date: [time]"),
@@ -76,7 +78,7 @@
 
     /// Compares the transcript with the golden file `name`.
     pub fn assert(&self, name: &str) {
-        insta::with_settings!({ filters => MASKS.to_vec(), prepend_module_to_snapshot => false }, {
+        insta::with_settings!({ filters => MASKS.to_vec(), prepend_module_to_snapshot => false, snapshot_path => "../snapshots", omit_expression => true }, {
             insta::assert_snapshot!(name, self.transcript);
         });
     }
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -2,13 +2,15 @@
 
 mod common;
 
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use common::session::Session;
-use common::{CECHY_A, MORAVA_A, MORAVA_B, Setup, World, pause};
-use monsooncove::bench::demo::wait_until_in_force;
+use common::{CECHY_A, MORAVA_A, MORAVA_B, Setup, World};
+use monsooncove::bench::demo::{wait_until_in_force, wait_until_node_has};
+use monsooncove::bench::process::Ready;
 use monsooncove::standin::backend;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -126,7 +128,7 @@
     let mut world = warm_world().await;
     let backend = world.fleet.upstreams()[MORAVA_B].backend_address;
     world.fleet.kill_node(MORAVA_B).await.unwrap();
-    let node = Command::new(NODE)
+    let mut node = Command::new(NODE)
         .args([
             "--instance=odber-morava-b",
             "--service=odber",
@@ -143,15 +145,17 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    pause(1_500).await;
-    kill(
-        Pid::from_raw(i32::try_from(node.id()).unwrap()),
-        Signal::SIGTERM,
-    )
-    .unwrap();
+    let mut lines = BufReader::new(node.stdout.take().unwrap()).lines();
+    let line = lines.next().unwrap().unwrap();
+    let ready: Ready = serde_json::from_str(&line).unwrap();
+    wait_until_node_has(ready.control, world.version)
+        .await
+        .unwrap();
+    let id = i32::try_from(node.id()).unwrap();
+    kill(Pid::from_raw(id), Signal::SIGTERM).unwrap();
     let output = node.wait_with_output().unwrap();
     let mut session = Session::default();
-    session.text(&String::from_utf8_lossy(&output.stdout));
+    session.line(&line);
     session.line("# SIGTERM");
     session.text(&String::from_utf8_lossy(&output.stderr));
     session.line(&format!("exit code {}", output.status.code().unwrap()));
