Prove the gate's invariants and provoke its failures

Property tests apply arbitrary orders of events, late and doubled ones included. They found that a call whose deadline was exactly the present moment was admitted; the queue now drops it. Recalls are planned only while the retry budget can pay for them, and the comparison tells entries when the gate let a call through, as the links between nodes do.

Tried and reverted: a stall detector in the gate that compared the mean age of the running calls with its usual value.

--- a/src/bench/policy/entry.rs
+++ b/src/bench/policy/entry.rs
@@ -123,7 +123,7 @@
         let result = tokio::select! {
             result = &mut answer => result,
             () = sleep(recall_after) => {
-                let token = self.recall(remote, id);
+                let token = !remote.link.is_admitted(id) && self.recall(remote, id);
                 let result = answer.await;
                 self.settle_recall(token, result.as_ref().ok());
                 result
@@ -155,7 +155,9 @@
         let elapsed = self.stopwatch.now().since(start);
         let bytes = CALL_BYTES;
         let (event, end) = match answer.result {
-            Outcome::Done | Outcome::Probed => (Event::Answered { elapsed, bytes }, End::Answered),
+            Outcome::Done | Outcome::Probed | Outcome::Admitted => {
+                (Event::Answered { elapsed, bytes }, End::Answered)
+            }
             Outcome::Refused(reason) => (Event::Refused(reason), End::Refused(reason)),
             Outcome::Failed => (Event::Failed, End::Failed),
         };
--- a/src/bench/policy/link.rs
+++ b/src/bench/policy/link.rs
@@ -11,9 +11,14 @@
 use tokio::sync::oneshot;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::message::{self, Answer, Request};
+use super::message::{self, Answer, Outcome, Request};
 
-type Pending = Arc<Mutex<BTreeMap<u64, oneshot::Sender<Answer>>>>;
+type Pending = Arc<Mutex<BTreeMap<u64, Waiting>>>;
+
+struct Waiting {
+    admitted: bool,
+    sender: oneshot::Sender<Answer>,
+}
 
 /// Sends requests and hands each its own answer.
 pub(super) struct Link {
@@ -61,11 +66,23 @@
         self.pending
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
-            .insert(id, sender);
+            .insert(
+                id,
+                Waiting {
+                    admitted: false,
+                    sender,
+                },
+            );
         self.send(request);
         receiver
     }
 
+    /// Whether the gate let the request through, as far as is known.
+    pub(super) fn is_admitted(&self, id: u64) -> bool {
+        let pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        pending.get(&id).is_none_or(|waiting| waiting.admitted)
+    }
+
     /// Sends a request without an answer of its own.
     pub(super) fn send(&self, request: Request) {
         // A closed link shows as an answer that never comes.
@@ -77,12 +94,15 @@
     let Some(answer) = message::decode::<Answer>(frame) else {
         return;
     };
-    let waiting = pending
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .remove(&answer.id);
-    if let Some(sender) = waiting {
+    let mut pending = pending.lock().unwrap_or_else(PoisonError::into_inner);
+    if answer.result == Outcome::Admitted {
+        if let Some(waiting) = pending.get_mut(&answer.id) {
+            waiting.admitted = true;
+        }
+        return;
+    }
+    if let Some(waiting) = pending.remove(&answer.id) {
         // The call may have ended meanwhile.
-        let _ = sender.send(answer);
+        let _ = waiting.sender.send(answer);
     }
 }
--- a/src/bench/policy/message.rs
+++ b/src/bench/policy/message.rs
@@ -47,6 +47,8 @@
 /// What became of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Outcome {
+    /// The gate let it through; the result follows.
+    Admitted,
     /// It ran.
     Done,
     /// It was not run.
--- a/src/bench/policy/server.rs
+++ b/src/bench/policy/server.rs
@@ -199,6 +199,9 @@
 
     fn start(self: &Arc<Self>, state: &mut State, now: Time, ticket: Ticket, job: Job) {
         state.in_hand += 1;
+        if !job.call.admitted {
+            job.reply(Outcome::Admitted, gate::Load::default());
+        }
         let overrun = self.faults.is_cold(now) && state.in_hand > COLD.allowance;
         state.cold_overruns += u64::from(overrun);
         let run = Arc::clone(self).run(now, ticket, job, overrun);
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -38,7 +38,7 @@
             says_cold: false,
             zone_out_since: None,
             boots: Boots::default(),
-            limit: Limit::new(settings.slots, settings.initial_service_time, now),
+            limit: Limit::new(&settings, now),
             pause: Pause::default(),
             running: BTreeMap::new(),
             queue: Queue::default(),
--- a/src/gate/limit.rs
+++ b/src/gate/limit.rs
@@ -7,16 +7,18 @@
 
 use crate::clock::Time;
 
+use super::Settings;
+
 const SMOOTHING: f64 = 0.2;
 const BASELINE_FALL: f64 = 0.2;
 const BASELINE_RISE: f64 = 0.01;
-const SLOW_RATIO: f64 = 2.5;
 const SHRINK: f64 = 0.8;
 
 /// Limit between one and the slots.
 #[derive(Debug)]
 pub(super) struct Limit {
     allowed: f64,
+    slow_ratio: f64,
     smoothed_us: f64,
     baseline_us: f64,
     sampled: bool,
@@ -24,10 +26,11 @@
 }
 
 impl Limit {
-    pub(super) fn new(slots: u32, service_time: Duration, now: Time) -> Self {
-        let micros = micros(service_time);
+    pub(super) fn new(settings: &Settings, now: Time) -> Self {
+        let micros = micros(settings.initial_service_time);
         Self {
-            allowed: f64::from(slots.max(1)),
+            allowed: f64::from(settings.slots.max(1)),
+            slow_ratio: settings.slow_ratio,
             smoothed_us: micros,
             baseline_us: micros,
             sampled: false,
@@ -48,7 +51,7 @@
     pub(super) fn answered(&mut self, now: Time, service_time: Duration, in_hand: u32, slots: u32) {
         let sample = micros(service_time);
         self.sample(sample);
-        if self.smoothed_us > self.baseline_us * SLOW_RATIO {
+        if self.smoothed_us > self.baseline_us * self.slow_ratio {
             self.shrink(now);
         } else if f64::from(in_hand) + 1.0 >= self.allowed.floor() {
             self.allowed = (self.allowed + 1.0 / self.allowed).min(f64::from(slots.max(1)));
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -57,10 +57,10 @@
         Some(ticket)
     }
 
-    /// Takes out one call whose deadline lies before `limit`.
+    /// Takes out one call whose deadline is not after `limit`.
     pub(super) fn pop_late(&mut self, limit: Time) -> Option<Ticket> {
         let &(deadline, ticket) = self.deadlines.first()?;
-        if deadline >= limit {
+        if deadline > limit {
             return None;
         }
         self.remove(ticket);
--- a/src/gate/settings.rs
+++ b/src/gate/settings.rs
@@ -19,6 +19,8 @@
     pub drain_queue_time: Duration,
     /// Failures in a row after which the gate stops admitting for a while.
     pub failure_streak: u32,
+    /// Answers this many times slower than usual shrink the limit.
+    pub slow_ratio: f64,
     /// First pause after a failure streak or a refused connection.
     pub pause_min: Duration,
     /// Longest pause.
@@ -40,6 +42,7 @@
             initial_service_time: Duration::from_millis(10),
             drain_queue_time: Duration::from_secs(1),
             failure_streak: 3,
+            slow_ratio: 2.5,
             pause_min: Duration::from_millis(100),
             pause_max: Duration::from_secs(5),
             drain_hold: Duration::from_secs(2),
--- /dev/null
+++ b/src/gate/tests/failures.rs
@@ -0,0 +1,177 @@
+use std::time::Duration;
+
+use crate::call::Reason;
+use crate::gate::{Outcome, Settings, Sign, State};
+
+use super::harness::{Harness, settings};
+
+fn fallback_mid_burst_admits_nothing_above_the_allowance() {
+    let mut harness = Harness::serving();
+    let running: Vec<_> = (0..8).map(|_| harness.arrive(1)).collect();
+    let waiting: Vec<_> = (0..3).map(|_| harness.arrive(1)).collect();
+    harness.sign(Sign::Boot(1));
+    harness.sign(Sign::Boot(2));
+    assert_eq!(harness.gate.state(), State::Cold);
+    for ticket in &running[..6] {
+        harness.finish(*ticket, Outcome::Cancelled);
+    }
+    assert!(waiting.iter().all(|ticket| !harness.admitted(*ticket)));
+    harness.finish(running[6], Outcome::Cancelled);
+    assert_eq!(harness.gate.in_hand(), 2);
+}
+
+fn late_sign_of_an_earlier_process_is_no_restart() {
+    let mut harness = Harness::serving();
+    harness.sign(Sign::Boot(1));
+    harness.sign(Sign::Boot(2));
+    harness.warm();
+    assert_eq!(harness.gate.state(), State::Serving);
+    harness.sign(Sign::Boot(1));
+    assert_eq!(harness.gate.state(), State::Serving);
+}
+
+fn good_answers_do_not_warm_while_the_server_says_cold() {
+    let mut harness = Harness::cold();
+    harness.sign(Sign::Cold);
+    harness.warm();
+    assert_eq!(harness.gate.state(), State::Cold);
+    harness.sign(Sign::Serving);
+    assert_eq!(harness.gate.state(), State::Cold);
+    harness.warm();
+    assert_eq!(harness.gate.state(), State::Serving);
+}
+
+fn failing_fast_stops_admission_until_a_trial_succeeds() {
+    let mut harness = Harness::serving();
+    for _ in 0..3 {
+        let ticket = harness.arrive(1);
+        harness.finish(ticket, Outcome::Failed);
+    }
+    let refused = harness.arrive(1);
+    assert_eq!(harness.refused(refused), Some(Reason::Unreachable));
+    assert!(!harness.gate.load(harness.now).accepting);
+    harness.pass(150);
+    let trial = harness.arrive(1);
+    let second = harness.arrive(1);
+    assert!(harness.admitted(trial) && !harness.admitted(second));
+    harness.answer(trial, 5);
+    assert!(harness.admitted(second));
+}
+
+fn failures_of_a_trial_lengthen_the_pause() {
+    let mut harness = Harness::serving();
+    let ticket = harness.arrive(1);
+    harness.finish(ticket, Outcome::Unreachable);
+    harness.pass(150);
+    let trial = harness.arrive(1);
+    harness.finish(trial, Outcome::Failed);
+    harness.pass(150);
+    let early = harness.arrive(1);
+    assert_eq!(harness.refused(early), Some(Reason::Unreachable));
+}
+
+fn zone_out_queue_is_refused_after_a_bounded_time() {
+    let mut harness = Harness::cold();
+    let calls: Vec<_> = (0..4).map(|_| harness.arrive_within(1, 60_000)).collect();
+    let now = harness.now;
+    harness.gate.set_zone(now, false, &mut harness.actions);
+    harness.pass(900);
+    assert_eq!(harness.refused(calls[3]), None);
+    harness.pass(100);
+    assert_eq!(harness.refused(calls[3]), Some(Reason::ZoneOut));
+}
+
+fn full_zone_sheds_the_lowest_worth_of_a_departed_one() {
+    let mut harness = Harness::cold();
+    let low: Vec<_> = (0..6).map(|_| harness.arrive(1)).collect();
+    let high: Vec<_> = (0..4).map(|_| harness.arrive(10)).collect();
+    let shed: Vec<_> = low
+        .into_iter()
+        .filter(|ticket| harness.refused(*ticket) == Some(Reason::Overloaded))
+        .collect();
+    assert_eq!(shed.len(), 4);
+    assert!(high.iter().all(|ticket| harness.refused(*ticket).is_none()));
+}
+
+fn deadline_before_the_expected_start_is_refused_at_once() {
+    let mut harness = Harness::serving();
+    for _ in 0..8 {
+        harness.arrive(1);
+    }
+    let hopeless = harness.arrive_within(1, 1);
+    assert_eq!(harness.refused(hopeless), Some(Reason::Deadline));
+}
+
+fn server_draining_by_itself_takes_work_again_after_a_restart() {
+    let mut harness = Harness::serving();
+    harness.sign(Sign::Boot(1));
+    harness.sign(Sign::Draining);
+    let refused = harness.arrive(1);
+    assert_eq!(harness.refused(refused), Some(Reason::Draining));
+    harness.sign(Sign::Serving);
+    assert_eq!(harness.gate.state(), State::Draining);
+    harness.sign(Sign::Boot(2));
+    assert_eq!(harness.gate.state(), State::Cold);
+}
+
+fn new_sheet_lowers_the_slots_without_cutting_calls() {
+    let mut harness = Harness::serving();
+    let running: Vec<_> = (0..8).map(|_| harness.arrive(1)).collect();
+    let fewer = Settings {
+        slots: 3,
+        ..settings()
+    };
+    let now = harness.now;
+    harness.gate.configure(now, fewer, &mut harness.actions);
+    let waiting = harness.arrive(1);
+    for ticket in &running[..5] {
+        harness.answer(*ticket, 5);
+    }
+    assert!(!harness.admitted(waiting));
+    harness.answer(running[5], 5);
+    assert!(harness.admitted(waiting));
+}
+
+fn slow_answers_shrink_the_limit_and_usual_ones_restore_it() {
+    let mut harness = Harness::serving();
+    for _ in 0..30 {
+        let ticket = harness.arrive(1);
+        harness.pass(50);
+        harness.answer(ticket, 50);
+    }
+    let shrunk = harness.gate.limit();
+    assert!((1..8).contains(&shrunk), "{shrunk}");
+    for _ in 0..200 {
+        let calls: Vec<_> = (0..8).map(|_| harness.arrive(1)).collect();
+        harness.pass(5);
+        for ticket in calls {
+            harness.answer(ticket, 5);
+        }
+    }
+    assert_eq!(harness.gate.limit(), 8);
+}
+
+fn report_counts_what_runs_and_waits() {
+    let mut harness = Harness::cold();
+    for _ in 0..5 {
+        harness.arrive(1);
+    }
+    let load = harness.gate.load(harness.now);
+    assert_eq!((load.in_hand, load.queued, load.limit), (2, 3, 2));
+    assert!(load.service_time > Duration::ZERO && load.accepting);
+}
+
+cases! {
+    cold_fallback_mid_burst_holds: fallback_mid_burst_admits_nothing_above_the_allowance();
+    late_boot_id_is_ignored: late_sign_of_an_earlier_process_is_no_restart();
+    own_word_outweighs_good_answers: good_answers_do_not_warm_while_the_server_says_cold();
+    failure_streak_pauses_admission: failing_fast_stops_admission_until_a_trial_succeeds();
+    failed_trial_pauses_longer: failures_of_a_trial_lengthen_the_pause();
+    zone_out_empties_the_queue: zone_out_queue_is_refused_after_a_bounded_time();
+    zone_out_with_every_other_zone_full: full_zone_sheds_the_lowest_worth_of_a_departed_one();
+    hopeless_deadline_is_refused: deadline_before_the_expected_start_is_refused_at_once();
+    announced_drain_ends_with_a_restart: server_draining_by_itself_takes_work_again_after_a_restart();
+    fewer_slots_cut_nothing: new_sheet_lowers_the_slots_without_cutting_calls();
+    limit_adapts_both_ways: slow_answers_shrink_the_limit_and_usual_ones_restore_it();
+    report_is_exact: report_counts_what_runs_and_waits();
+}
--- /dev/null
+++ b/src/gate/tests/invariants.rs
@@ -0,0 +1,266 @@
+//! What must hold for any order of events, late and doubled ones included.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::clock::Time;
+use crate::gate::{Action, Arrival, Gate, Outcome, Settings, Sign, State, Ticket};
+use crate::plan::Cold;
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Arrive {
+        ticket: u64,
+        worth: u32,
+        millis: u64,
+    },
+    Finish {
+        ticket: u64,
+        outcome: Outcome,
+    },
+    Recall {
+        ticket: u64,
+    },
+    Sign(Sign),
+    Zone(bool),
+    Drain,
+    Pass(u64),
+    Slots(u32),
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop_oneof![
+        6 => (1_u64..40).prop_map(|millis| Outcome::Answered {
+            service_time: Duration::from_millis(millis),
+        }),
+        1 => Just(Outcome::Failed),
+        1 => Just(Outcome::Shed),
+        1 => Just(Outcome::Unreachable),
+        1 => Just(Outcome::Cancelled),
+    ]
+}
+
+fn sign() -> impl Strategy<Value = Sign> {
+    prop_oneof![
+        (0_u64..4).prop_map(Sign::Boot),
+        Just(Sign::Cold),
+        Just(Sign::Serving),
+        Just(Sign::Draining),
+        Just(Sign::Unhealthy),
+    ]
+}
+
+/// Few tickets, so that many events are doubled, late or about unknown calls.
+fn event() -> impl Strategy<Value = Event> {
+    let ticket = 0_u64..40;
+    prop_oneof![
+        12 => (ticket.clone(), 0_u32..4, 0_u64..200).prop_map(|(ticket, worth, millis)| {
+            Event::Arrive { ticket, worth, millis }
+        }),
+        12 => (ticket.clone(), outcome())
+            .prop_map(|(ticket, outcome)| Event::Finish { ticket, outcome }),
+        2 => ticket.prop_map(|ticket| Event::Recall { ticket }),
+        1 => sign().prop_map(Event::Sign),
+        1 => any::<bool>().prop_map(Event::Zone),
+        4 => (0_u64..60).prop_map(Event::Pass),
+        1 => (1_u32..10).prop_map(Event::Slots),
+    ]
+}
+
+fn settings(slots: u32) -> Settings {
+    Settings {
+        slots,
+        cold: Cold {
+            allowance: 2,
+            steps: 3,
+            step_time: Duration::from_millis(20),
+        },
+        queue_capacity: 5,
+        ..Settings::default()
+    }
+}
+
+/// What an honest observer of the gate knows.
+struct Observer {
+    gate: Gate,
+    settings: Settings,
+    now: Time,
+    running: BTreeSet<u64>,
+    queued: BTreeMap<u64, Arrival>,
+    zone_in: bool,
+}
+
+impl Observer {
+    fn new() -> Self {
+        let settings = settings(6);
+        Self {
+            gate: Gate::new(settings, Time::ZERO),
+            settings,
+            now: Time::ZERO,
+            running: BTreeSet::new(),
+            queued: BTreeMap::new(),
+            zone_in: true,
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        let now = self.now;
+        let mut actions = Vec::new();
+        let drained = self.gate.state();
+        match event {
+            Event::Arrive {
+                ticket,
+                worth,
+                millis,
+            } => {
+                self.arrive(ticket, worth, millis, &mut actions);
+            }
+            Event::Finish { ticket, outcome } => {
+                self.running.remove(&ticket);
+                self.gate.finish(now, Ticket(ticket), outcome, &mut actions);
+            }
+            Event::Recall { ticket } => {
+                let recalled = self.gate.recall(now, Ticket(ticket));
+                assert_eq!(recalled, self.queued.remove(&ticket).is_some());
+            }
+            Event::Sign(sign) => self.gate.sign(now, sign, &mut actions),
+            Event::Zone(zone_in) => {
+                self.zone_in = zone_in;
+                self.gate.set_zone(now, zone_in, &mut actions);
+            }
+            Event::Drain => self.gate.drain(now, &mut actions),
+            Event::Pass(millis) => {
+                self.now = now + Duration::from_millis(millis);
+                self.gate.tick(self.now, &mut actions);
+            }
+            Event::Slots(slots) => {
+                self.settings = settings(slots);
+                self.gate.configure(now, self.settings, &mut actions);
+            }
+        }
+        self.check_actions(&actions);
+        self.check_counts();
+        if drained == State::Left {
+            assert_eq!(self.gate.state(), State::Left);
+        }
+    }
+
+    fn arrive(&mut self, ticket: u64, worth: u32, millis: u64, actions: &mut Vec<Action>) {
+        let arrival = Arrival {
+            ticket: Ticket(ticket),
+            worth,
+            deadline: self.now + Duration::from_millis(millis),
+        };
+        let known = self.running.contains(&ticket) || self.queued.contains_key(&ticket);
+        self.gate.arrive(self.now, arrival, actions);
+        if known {
+            assert!(
+                actions
+                    .iter()
+                    .all(|action| *action != Action::Admit(Ticket(ticket)))
+            );
+        } else {
+            self.queued.insert(ticket, arrival);
+        }
+    }
+
+    /// Every call is admitted or refused once, and never more than may be held.
+    fn check_actions(&mut self, actions: &[Action]) {
+        for action in actions {
+            match *action {
+                Action::Admit(Ticket(ticket)) => {
+                    let arrival = self.queued.remove(&ticket).expect("it was waiting");
+                    assert!(arrival.deadline > self.now, "admitted after its deadline");
+                    assert!(self.running.insert(ticket), "admitted twice");
+                    assert!(self.running.len() <= self.gate.limit() as usize);
+                }
+                Action::Refuse(Ticket(ticket), _) => {
+                    assert!(self.queued.remove(&ticket).is_some(), "refused twice");
+                }
+            }
+        }
+    }
+
+    fn check_counts(&self) {
+        assert_eq!(self.gate.in_hand() as usize, self.running.len());
+        assert_eq!(self.gate.queued() as usize, self.queued.len());
+        assert!(self.queued.len() <= self.settings.queue_capacity);
+        assert!(self.gate.limit() <= self.settings.slots);
+        if self.gate.state() == State::Cold {
+            assert!(self.gate.limit() <= self.settings.cold.allowance);
+        }
+        let load = self.gate.load(self.now);
+        let closed = matches!(self.gate.state(), State::Draining | State::Left);
+        assert!(!(load.accepting && (closed || !self.zone_in)));
+    }
+
+    /// Lets every running call end and time pass until nothing may be left.
+    fn run_down(&mut self) {
+        for _ in 0..20 {
+            for ticket in self.running.clone() {
+                let service_time = Duration::from_millis(5);
+                let outcome = Outcome::Answered { service_time };
+                self.apply(Event::Finish { ticket, outcome });
+            }
+            self.apply(Event::Pass(300));
+        }
+        assert!(self.running.is_empty() && self.queued.is_empty());
+    }
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 150,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(4),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_order_of_events_keeps_counts_limits_and_answers(
+        events in prop::collection::vec(event(), 1..160),
+    ) {
+        let mut observer = Observer::new();
+        for event in events {
+            observer.apply(event);
+        }
+        observer.run_down();
+    }
+
+    #[test]
+    fn a_planned_stop_ends_in_left_and_stays_there(
+        before in prop::collection::vec(event(), 1..60),
+        after in prop::collection::vec(event(), 1..60),
+    ) {
+        let mut observer = Observer::new();
+        for event in before {
+            observer.apply(event);
+        }
+        observer.apply(Event::Drain);
+        for event in after {
+            observer.apply(event);
+        }
+        observer.run_down();
+        prop_assert_eq!(observer.gate.state(), State::Left);
+    }
+
+    #[test]
+    fn next_tick_never_lies_behind_a_wait_without_end(
+        events in prop::collection::vec(event(), 1..160),
+    ) {
+        let mut observer = Observer::new();
+        for event in events {
+            observer.apply(event);
+            if observer.gate.queued() > 0 {
+                prop_assert!(observer.gate.next_tick().is_some());
+            }
+        }
+    }
+}
--- a/src/gate/tests/mod.rs
+++ b/src/gate/tests/mod.rs
@@ -1,2 +1,4 @@
 mod admission;
+mod failures;
 mod harness;
+mod invariants;
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -20,8 +20,6 @@
 
 /// Members looked at for each candidate wanted.
 const STEPS_PER_CANDIDATE: usize = 4;
-/// Share of the service time that a fully used backend server is expected to add.
-const CROWDING: f64 = 0.25;
 /// Seconds of budget that can be saved up for bytes between regions.
 const REMOTE_BURST_S: f64 = 1.0;
 
@@ -30,16 +28,18 @@
 pub(super) struct Candidate {
     pub(super) backend: Backend,
     pub(super) group: usize,
-    cost_us: f64,
+    pub(super) cost_us: f64,
     transit_us: f64,
     expected: Expected,
 }
 
 impl Candidate {
     /// Time after which the call should long have been admitted.
-    pub(super) fn recall_after(&self) -> Duration {
-        let admitted_us = self.transit_us + 2.0 * self.expected.wait_us + self.expected.service_us;
-        Duration::from_secs_f64(admitted_us / 1e6)
+    pub(super) fn recall_after(&self, next_best_us: f64, settings: &Settings) -> Duration {
+        let admitted_us = self.transit_us + 2.0 * self.expected.wait_us;
+        let gain_us = (next_best_us - self.cost_us).max(0.0);
+        let least_us = settings.recall_min * self.expected.service_us;
+        Duration::from_secs_f64((admitted_us + gain_us.max(least_us)) / 1e6)
     }
 }
 
@@ -162,7 +162,7 @@
             .expect(self.now, &self.pool.mean, self.settings);
         let transit_us = 2.0 * micros(self.latency(member.distance));
         let failures = f64::from(member.health.failures());
-        let weight = 1.0 + CROWDING * expected.occupancy + failures;
+        let weight = 1.0 + self.settings.crowding * expected.occupancy + failures;
         let near_us = transit_us + expected.wait_us + expected.service_us * weight;
         let gain = match member.distance {
             Distance::Remote => self.settings.remote_gain,
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -118,7 +118,7 @@
     /// Expected microseconds of waiting and of service for one more call.
     pub(super) fn expect(&self, now: Time, mean: &Mean, settings: &Settings) -> Expected {
         let (others, limit, reported_us) = self.aged(now, mean, settings);
-        let service_us = reported_us.max(self.silence_us(now, reported_us));
+        let service_us = reported_us.max(self.silence_us(now, reported_us * settings.silence_min));
         let total = others + f64::from(self.in_flight);
         let over = (total + 1.0 - limit).max(0.0);
         Expected {
@@ -133,19 +133,19 @@
             let limit = f64::from(self.fresh_limit.max(1));
             return (mean.occupancy * limit, limit, mean.service_us);
         };
-        let half_lives =
-            now.since(report.at).as_secs_f64() / settings.report_half_life.as_secs_f64();
-        let kept = 0.5_f64.powf(half_lives);
+        let age_us = micros(now.since(report.at));
+        let kept_calls = kept(age_us, settings.calls_half_life * mean.service_us);
         let usual = mean.occupancy * report.limit;
-        let others = usual + (report.others - usual) * kept;
-        let service_us = mean.service_us + (report.service_us - mean.service_us) * kept;
+        let others = usual + (report.others - usual) * kept_calls;
+        let kept_time = kept(age_us, micros(settings.service_time_half_life));
+        let service_us = mean.service_us + (report.service_us - mean.service_us) * kept_time;
         (others, report.limit, service_us)
     }
 
     /// Time without any answer while calls are in flight, when it is unusual.
-    fn silence_us(&self, now: Time, service_us: f64) -> f64 {
+    fn silence_us(&self, now: Time, least_us: f64) -> f64 {
         let silence_us = micros(now.since(self.last_event));
-        if self.in_flight == 0 || silence_us < 2.0 * service_us {
+        if self.in_flight == 0 || silence_us < least_us {
             0.0
         } else {
             silence_us
@@ -164,6 +164,11 @@
     pub(super) occupancy: f64,
 }
 
+/// Share of a deviation that is left after `age_us`.
+fn kept(age_us: f64, half_life_us: f64) -> f64 {
+    0.5_f64.powf(age_us / half_life_us.max(1.0))
+}
+
 pub(super) fn micros(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1e6
 }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -72,7 +72,7 @@
     pub fn choose(&mut self, now: Time, ask: &Ask) -> Result<Choice, Reason> {
         let best = self.best(now, ask)?;
         self.charge(now, ask, &best);
-        let alternatives = self.drawn.len() > 1;
+        let recall_after = self.recall_after(now, &best);
         let member = self
             .directory
             .arena
@@ -84,7 +84,7 @@
             instance: member.instance.clone(),
             peer: member.peer,
             local: member.distance == Distance::Own,
-            recall_after: alternatives.then(|| best.recall_after()),
+            recall_after,
         })
     }
 
@@ -157,6 +157,17 @@
         draw.best()
     }
 
+    /// A recall makes sense when another backend server could take the call, and
+    /// the retry budget is likely to pay for it.
+    fn recall_after(&mut self, now: Time, best: &Candidate) -> Option<Duration> {
+        if !self.retries.has(now, self.settings.recall_reserve) {
+            return None;
+        }
+        let others = self.drawn.iter().filter(|one| one.backend != best.backend);
+        let next_best_us = others.map(|one| one.cost_us).min_by(f64::total_cmp)?;
+        Some(best.recall_after(next_best_us, &self.settings))
+    }
+
     fn charge(&mut self, now: Time, ask: &Ask, best: &Candidate) {
         let pool = self.directory.pools.get(ask.service);
         let group = pool.and_then(|pool| pool.groups.get(best.group));
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -23,8 +23,17 @@
     pub remote_bytes_per_s: f64,
     /// Service time assumed before the first report.
     pub initial_service_time: Duration,
-    /// Age at which half of a report's deviation from the mean is forgotten.
-    pub report_half_life: Duration,
+    /// Age, in service times, at which half of the deviation of the reported
+    /// calls from the mean is forgotten.
+    pub calls_half_life: f64,
+    /// Age at which half of the deviation of the reported service time from the
+    /// mean is forgotten.
+    pub service_time_half_life: Duration,
+    /// Time without an answer, in service times, that makes calls in flight
+    /// count as slow.
+    pub silence_min: f64,
+    /// Share of the service time that a fully used backend server adds to it.
+    pub crowding: f64,
     /// Age after which a report counts as missing.
     pub report_lifetime: Duration,
     /// Time without new calls after a gate said that it takes none.
@@ -43,6 +52,10 @@
     pub retry_floor_per_s: f64,
     /// Retries that may be saved up.
     pub retry_burst: f64,
+    /// Shortest time in a queue after which a call is recalled, in service times.
+    pub recall_min: f64,
+    /// Retries that must be saved up for a recall to be planned.
+    pub recall_reserve: f64,
     /// Second copies per call.
     pub copy_ratio: f64,
     /// Second copies that may be saved up.
@@ -65,7 +78,10 @@
             remote_gain: 0.1,
             remote_bytes_per_s: 2_000_000.0,
             initial_service_time: Duration::from_millis(10),
-            report_half_life: Duration::from_millis(50),
+            calls_half_life: 5.0,
+            service_time_half_life: Duration::from_millis(50),
+            silence_min: 2.0,
+            crowding: 0.25,
             report_lifetime: Duration::from_secs(1),
             closed_time: Duration::from_millis(250),
             failure_streak: 3,
@@ -75,6 +91,8 @@
             retry_ratio: 0.04,
             retry_floor_per_s: 1.0,
             retry_burst: 10.0,
+            recall_min: 1.0,
+            recall_reserve: 5.0,
             copy_ratio: 0.01,
             copy_burst: 5.0,
             probe_bytes_per_s: 2_000.0,
--- a/src/routing/tests/harness.rs
+++ b/src/routing/tests/harness.rs
@@ -113,17 +113,13 @@
 
 impl Harness {
     pub(super) fn new(instances: &[(&str, &str)]) -> Self {
-        Self::with(Settings::default(), instances)
-    }
-
-    pub(super) fn with(settings: Settings, instances: &[(&str, &str)]) -> Self {
         let place = Place {
             instance: "entry".into(),
             region: "morava".into(),
             zone: "morava-a".into(),
         };
         let mut harness = Self {
-            router: Router::new(settings, place, 7),
+            router: Router::new(Settings::default(), place, 7),
             now: Time::from_millis(1),
         };
         harness.update(&[], &view(instances));
--- a/src/routing/tests/mod.rs
+++ b/src/routing/tests/mod.rs
@@ -1,2 +1,3 @@
 mod choice;
+mod failures;
 mod harness;
