--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -72,7 +72,7 @@
     pub fn choose(&mut self, now: Time, ask: &Ask) -> Result<Choice, Reason> {
         let best = self.best(now, ask)?;
         self.charge(now, ask, &best);
-        let recall_after = self.recall_after(&best);
+        let recall_after = self.recall_after(now, &best);
         let member = self
             .directory
             .arena
@@ -157,8 +157,12 @@
         draw.best()
     }
 
-    /// Waiting elsewhere must be possible for a recall to make sense.
-    fn recall_after(&self, best: &Candidate) -> Option<Duration> {
+    /// A recall makes sense when another backend server could take the call, and
+    /// the retry budget is likely to pay for it.
+    fn recall_after(&mut self, now: Time, best: &Candidate) -> Option<Duration> {
+        if !self.retries.has(now, self.settings.recall_reserve) {
+            return None;
+        }
         let others = self.drawn.iter().filter(|one| one.backend != best.backend);
         let next_best_us = others.map(|one| one.cost_us).min_by(f64::total_cmp)?;
         Some(best.recall_after(next_best_us, &self.settings))
