--- a/src/sheet/mod.rs
+++ b/src/sheet/mod.rs
@@ -13,6 +13,7 @@
 pub mod delta;
 pub mod example;
 mod fault;
+mod quotes;
 mod read;
 pub mod row;
 #[cfg(test)]
@@ -71,11 +72,11 @@
     })
 }
 
-/// A cell that is not UTF-8 is not a name either; one fault says enough.
+/// A cell that cannot be read is no name either; one fault says enough.
 fn drop_repeated(faults: &mut Vec<Fault>) {
     faults.dedup_by(|fault, earlier| {
         let same_cell = fault.row == earlier.row && fault.column == earlier.column;
-        same_cell && earlier.remedy == read::UTF8_REMEDY
+        same_cell && [read::UTF8_REMEDY, quotes::STRAY].contains(&earlier.remedy.as_str())
     });
 }
 
--- a/src/sheet/read.rs
+++ b/src/sheet/read.rs
@@ -3,6 +3,7 @@
 use csv::{ByteRecord, ReaderBuilder};
 
 use super::fault::Fault;
+use super::quotes;
 
 /// Largest sheet that is read.
 pub const SHEET_BYTES_MAX: usize = 8 * 1024 * 1024;
@@ -35,7 +36,11 @@
         return Vec::new();
     }
     let bytes = bytes.strip_prefix(UTF8_BOM).unwrap_or(bytes);
-    let mut rows = split(bytes, faults);
+    let separator = separator(bytes);
+    if !quotes::check(bytes, separator, faults) {
+        return Vec::new();
+    }
+    let mut rows = split(bytes, separator, faults);
     while rows.last().is_some_and(Cells::is_blank) {
         rows.pop();
     }
@@ -54,11 +59,11 @@
     is_utf16.then(|| Fault::new(1, 1, "", "UTF-16", UTF8_REMEDY))
 }
 
-fn split(bytes: &[u8], faults: &mut Vec<Fault>) -> Vec<Cells> {
+fn split(bytes: &[u8], separator: u8, faults: &mut Vec<Fault>) -> Vec<Cells> {
     let mut reader = ReaderBuilder::new()
         .has_headers(false)
         .flexible(true)
-        .delimiter(separator(bytes))
+        .delimiter(separator)
         .from_reader(bytes);
     let mut rows = Vec::new();
     let mut record = ByteRecord::new();
--- a/src/sheet/tests/faults.rs
+++ b/src/sheet/tests/faults.rs
@@ -72,6 +72,15 @@
         row 22, column L (regions), value "cechy": name a region of the sheet, or add a row region,cechy
         row 23, column L (regions), value "cechy": name a region of the sheet, or add a row region,cechy
         "#);
+    quote_inside_a_cell: shows!(faults("bakeries", "bak\"eries"), @r#"row 13, column B, value "\"": put the whole cell in double quotes, and double each quote inside it"#);
+    text_after_a_quoted_cell: shows!(faults("bakeries", "\"bakeries\"s"), @r#"row 13, column B, value "\"": put the whole cell in double quotes, and double each quote inside it"#);
+    file_cut_inside_quotes: shows!(faults("10,,3000,yes\n", "10,,3000,\"ye"), @r#"row 29, column P, value "\"": close the quotes; the file ends inside this cell and may be cut short"#);
+    quotes_are_counted_in_rows_of_a_windows_sheet:
+        shows!(report(example::FARM.replace('\n', "\r\n").replace("odber,any", "odber,\"any\" ").as_bytes()), @r#"row 23, column J, value "\"": put the whole cell in double quotes, and double each quote inside it"#);
+    stray_quote_hides_no_other_fault: shows!(report(example::FARM.replace("bakeries", "bak\"eries").replace("9,1,5", "9,0,5").as_bytes()), @r#"
+        row 12, column F (cold_allowance), value "0": write a whole number from 1 to 9
+        row 13, column B, value "\"": put the whole cell in double quotes, and double each quote inside it
+        "#);
     several_at_once: shows!(faults("9,2,4,500", "0,2,x,"), @r#"
         row 11, column E (slots), value "0": write a whole number from 1 to 100000
         row 11, column G (warm_steps), value "x": write a whole number from 1 to 1000
--- a/src/sheet/tests/formats.rs
+++ b/src/sheet/tests/formats.rs
@@ -34,6 +34,8 @@
         same_as_farm(example::FARM.replace(',', ";").as_bytes());
     quoted_cells_are_read:
         same_as_farm(quoted().as_bytes());
+    quoted_cells_of_a_windows_sheet_are_read:
+        same_as_farm(quoted().replace('\n', "\r\n").as_bytes());
     columns_may_stand_in_any_order:
         same_as_farm(reversed().as_bytes());
     trailing_blank_rows_are_dropped:
