--- a/src/sheet/check.rs
+++ b/src/sheet/check.rs
@@ -5,8 +5,9 @@
 use crate::plan::Regions;
 
 use super::column::Column;
-use super::decode::{Decoded, Heading, fault_at};
+use super::decode::Decoded;
 use super::fault::Fault;
+use super::heading::{Heading, fault_at};
 use super::row::{Home, Key, Kind, Method, Route, Row};
 
 /// Rows of one kind that a plan can hold, one for each key.
--- a/src/sheet/decode.rs
+++ b/src/sheet/decode.rs
@@ -7,6 +7,7 @@
 
 use super::column::Column;
 use super::fault::Fault;
+use super::heading::{Heading, fault_at};
 use super::read::Cells;
 use super::row::{Home, Key, Kind, Method, Route, Row, Service, Tenant, Zone};
 
@@ -23,61 +24,6 @@
 /// Word that stands for every method.
 pub(super) const ANY_METHOD: &str = "any";
 
-/// Where the columns of one sheet stand.
-#[derive(Debug)]
-pub(super) struct Heading {
-    positions: [Option<usize>; Column::ALL.len()],
-    width: usize,
-}
-
-impl Heading {
-    /// Whether every column is there.
-    pub fn is_complete(&self) -> bool {
-        self.positions.iter().all(Option::is_some)
-    }
-
-    /// Reads the first row.
-    pub fn read(cells: &Cells, faults: &mut Vec<Fault>) -> Self {
-        let mut positions = [None; Column::ALL.len()];
-        let used = cells.cells.iter().rposition(|cell| !cell.is_empty());
-        let width = used.map_or(0, |last| last + 1);
-        for (index, text) in cells.cells.iter().take(width).enumerate() {
-            let mut fault = |remedy: &str| {
-                faults.push(Fault::new(cells.row, index + 1, text, text, remedy));
-            };
-            match Column::from_heading(text) {
-                None => fault(&format!("use one of the headings {}", headings())),
-                Some(column) => match positions[column.index()] {
-                    Some(_) => fault("keep one column of this heading"),
-                    None => positions[column.index()] = Some(index),
-                },
-            }
-        }
-        let heading = Self { positions, width };
-        heading.reject_missing(cells.row, faults);
-        heading
-    }
-
-    fn reject_missing(&self, row: usize, faults: &mut Vec<Fault>) {
-        for column in Column::ALL {
-            if self.positions[column.index()].is_none() {
-                let remedy = format!("add the column {column}");
-                faults.push(Fault::new(
-                    row,
-                    self.width + 1,
-                    column.as_str(),
-                    "",
-                    &remedy,
-                ));
-            }
-        }
-    }
-}
-
-fn headings() -> String {
-    Column::ALL.map(Column::as_str).join(", ")
-}
-
 /// A row as far as it could be read.
 #[derive(Debug)]
 pub(super) struct Decoded {
@@ -114,18 +60,6 @@
     }
 }
 
-/// Position of `column` as faults count it.
-pub(super) fn fault_at(
-    heading: &Heading,
-    row: usize,
-    column: Column,
-    value: &str,
-    remedy: &str,
-) -> Option<Fault> {
-    let index = heading.positions[column.index()]?;
-    Some(Fault::new(row, index + 1, column.as_str(), value, remedy))
-}
-
 struct Decoder<'a> {
     heading: &'a Heading,
     cells: &'a Cells,
--- a/src/sheet/mod.rs
+++ b/src/sheet/mod.rs
@@ -13,6 +13,7 @@
 pub mod delta;
 pub mod example;
 mod fault;
+mod heading;
 mod quotes;
 mod read;
 pub mod row;
@@ -30,7 +31,7 @@
 pub use fault::Fault;
 pub use read::SHEET_BYTES_MAX;
 
-use decode::Heading;
+use heading::Heading;
 use row::{Key, Row};
 
 /// A sheet without faults.
