Keep calls away from a closed gate for longer each time, and retry without budget

Ruled out: a larger retry budget, since it would also feed a retry storm when all are overloaded; a longer fixed pause, since a zone that returns must be used at once. Change: the pause doubles from 250 ms to 4 s while refusals go on, once per pause; a zone's return in the plan ends it; a refusal that closes a gate at the entry is retried without a token, since the pause bounds how often it happens.

--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -72,6 +72,13 @@
         Self::ALL.into_iter().find(|reason| *reason as u8 == number)
     }
 
+    /// Whether the gate takes no call at all for now. The entry then sends it
+    /// none for a while, so trying again elsewhere cannot add up.
+    #[must_use]
+    pub const fn is_closing(self) -> bool {
+        matches!(self, Self::ZoneOut | Self::Draining | Self::Unreachable)
+    }
+
     /// Whether another backend server may take the call.
     #[must_use]
     pub const fn is_local(self) -> bool {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -165,12 +165,18 @@
         Ok(choice)
     }
 
+    fn may_retry(&self, now: Time, progress: &Progress) -> bool {
+        let refused = progress.refused.map(NotRun::reason);
+        let closed = progress.unknown.is_none() && refused.is_some_and(Reason::is_closing);
+        closed || self.router().may_retry(now)
+    }
+
     /// What is to be sent, if the call may be tried once more.
     fn next_attempt(&self, upload: Option<Upload>, progress: &Progress) -> Option<Upload> {
         let upload = upload.filter(Upload::is_replayable)?;
         let now = self.parts.clock.now();
         let spent = progress.attempts >= self.parts.settings.max_attempts;
-        if spent || now >= progress.deadline || !self.router().may_retry(now) {
+        if spent || now >= progress.deadline || !self.may_retry(now, progress) {
             return None;
         }
         self.parts.observer.event(Event::Retried);
--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -103,7 +103,11 @@
         let Some(member) = self.arena.get_mut(backend) else {
             return;
         };
+        let was_out = member.site.is_some_and(|site| !site.in_service);
         member.site = member.locate(&self.plan);
+        if was_out && member.site.is_some_and(|site| site.in_service) {
+            member.health.opened();
+        }
         if let Some(site) = member.site
             && let Some(pool) = self.pools.get_mut(site.service)
         {
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -19,6 +19,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Closed {
     until: Time,
+    time: Duration,
     reason: Reason,
 }
 
@@ -52,9 +53,17 @@
         self.closed = None;
     }
 
+    /// Keeps new calls away, twice as long as the last time in a row. Refusals
+    /// of calls that were under way already do not count again.
     pub(super) fn close(&mut self, now: Time, reason: Reason, settings: &Settings) {
+        if self.closed(now).is_some() {
+            return;
+        }
+        let before = self.closed.map_or(Duration::ZERO, |closed| closed.time);
+        let time = (before * 2).clamp(settings.closed_min, settings.closed_max);
         self.closed = Some(Closed {
-            until: now + settings.closed_time,
+            until: now + time,
+            time,
             reason,
         });
     }
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -36,8 +36,11 @@
     pub crowding: f64,
     /// Age after which a report counts as missing.
     pub report_lifetime: Duration,
-    /// Time without new calls after a gate said that it takes none.
-    pub closed_time: Duration,
+    /// First time without new calls after a gate said that it takes none;
+    /// doubles with each that follows at once.
+    pub closed_min: Duration,
+    /// Longest time without new calls.
+    pub closed_max: Duration,
     /// Failures in a row that eject a backend server.
     pub failure_streak: u32,
     /// First time of an ejection; doubles with each that follows at once.
@@ -83,7 +86,8 @@
             silence_min: 2.0,
             crowding: 0.25,
             report_lifetime: Duration::from_secs(1),
-            closed_time: Duration::from_millis(250),
+            closed_min: Duration::from_millis(250),
+            closed_max: Duration::from_secs(4),
             failure_streak: 3,
             ejection_min: Duration::from_secs(1),
             ejection_max: Duration::from_secs(30),
--- a/src/routing/tests/failures.rs
+++ b/src/routing/tests/failures.rs
@@ -87,6 +87,46 @@
     assert!(harness.router.choose(harness.now, &ask()).is_ok());
 }
 
+/// An entry with 25 calls a second sends a server that drains for 6 s a few.
+fn draining_server_is_asked_less_and_less() {
+    let mut harness = Harness::new(&THREE);
+    let mut refused = 0;
+    for _ in 0..150 {
+        harness.pass(40);
+        let choice = harness.choose();
+        if choice.instance == "one" {
+            refused += 1;
+            harness.observe(&choice, Event::Refused(Reason::Draining));
+        } else {
+            harness.answer(&choice, idle());
+        }
+    }
+    assert!(refused <= 5, "{refused}");
+}
+
+fn refusals_of_calls_under_way_count_once() {
+    let mut harness = Harness::new(&[("one", "morava-a")]);
+    let under_way: Vec<_> = (0..6).map(|_| harness.choose()).collect();
+    for choice in under_way {
+        harness.observe(&choice, Event::Refused(Reason::Draining));
+    }
+    harness.pass(300);
+    assert!(harness.router.choose(harness.now, &ask()).is_ok());
+}
+
+fn returned_zone_is_used_at_once() {
+    let mut harness = Harness::new(&ZONES);
+    for _ in 0..4 {
+        harness.pass(5_000);
+        let choice = harness.choose();
+        harness.observe(&choice, Event::Refused(Reason::ZoneOut));
+    }
+    harness.update(&["morava-a"], &view(&ZONES));
+    harness.update(&[], &view(&ZONES));
+    let chosen = harness.chosen(50, |_| idle());
+    assert!(chosen.contains(&"near".to_owned()));
+}
+
 fn zone_out_goes_elsewhere_even_when_all_others_are_full() {
     let mut harness = Harness::new(&ZONES);
     harness.report(|_| full());
@@ -161,4 +201,7 @@
     byte_budget_between_regions_holds: spent_byte_budget_keeps_calls_in_the_region();
     newer_epoch_starts_afresh: restarted_instance_starts_with_a_clean_record();
     leaving_gets_nothing: leaving_instance_gets_nothing_new();
+    draining_is_asked_less_and_less: draining_server_is_asked_less_and_less();
+    refusals_under_way_count_once: refusals_of_calls_under_way_count_once();
+    returned_zone_is_used: returned_zone_is_used_at_once();
 }
