--- a/src/call/claim/rank.rs
+++ b/src/call/claim/rank.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Time;
-use crate::membership::{Epoch, Instance, State, View};
+use crate::membership::{Instance, State, View};
 
 use super::{Digest, RETENTION};
 
@@ -80,7 +80,7 @@
         });
     }
 
-    /// Whether all holders of some earlier view are gone.
+    /// Whether some earlier view had no holder that is asked today.
     pub(super) fn has_gap(&mut self, now: Time, digest: Digest, regions: &[String]) -> bool {
         self.forget(now);
         if self.forgotten.is_some() {
@@ -89,14 +89,16 @@
         let Some(current) = self.views.back() else {
             return false;
         };
-        let lives = |name: &str, epoch: Epoch| {
-            let known = current.view.get(name);
-            known.is_some_and(|known| known.epoch == epoch && known.state == State::Present)
+        let asked = rank(&current.view, regions, digest);
+        let is_asked = |holder: &Instance| {
+            asked
+                .iter()
+                .any(|node| node.name == holder.name && node.epoch == holder.epoch)
         };
         self.views.iter().any(|seen| {
             let holders = rank(&seen.view, regions, digest);
             let mut holders = holders.iter().take(HOLDERS).peekable();
-            holders.peek().is_some() && !holders.any(|holder| lives(&holder.name, holder.epoch))
+            holders.peek().is_some() && !holders.any(|holder| is_asked(holder))
         })
     }
 
--- a/src/call/claim/tests.rs
+++ b/src/call/claim/tests.rs
@@ -152,6 +152,28 @@
     assert_eq!(ask(&claims, 2, 1, Intent::Look), Verdict::Unknown);
 }
 
+/// Nodes that rank above both holders push them out of what is asked.
+fn outranked_holders_are_unknown() {
+    let claims = Claims::default();
+    let full = Arc::new(view());
+    let holders = holder_names(&full);
+    let mut grown = (*full).clone();
+    let outranks = |view: &View| {
+        let asked = rank(view, &[], KEY);
+        asked.iter().all(|node| !holders.contains(&node.name))
+    };
+    for at in 0..10_000 {
+        if outranks(&grown) {
+            break;
+        }
+        grown.merge(instance(&format!("guest-{at}"), "north", "north-0"));
+        grown.merge(instance(&format!("guest-south-{at}"), "south", "south-1"));
+    }
+    claims.note(Time::ZERO, &full);
+    claims.note(Time::from_millis(1000), &Arc::new(grown));
+    assert_eq!(ask(&claims, 2, 1, Intent::Look), Verdict::Unknown);
+}
+
 fn too_many_views_are_unknown() {
     let claims = Claims::default();
     let full = view();
@@ -178,6 +200,7 @@
     loss_is_forgotten_with_the_claims:
         assert_eq!(after_losses(2, RETENTION.as_secs() + 3), Verdict::Free);
     restarted_holder_counts_as_lost: restarted_holders_know_nothing();
+    outranked_holders_cannot_be_asked: outranked_holders_are_unknown();
     history_over_its_bound_cannot_tell: too_many_views_are_unknown();
     tenants_do_not_share_keys:
         assert_ne!(Digest::of("desk", "a", b"k"), Digest::of("desk", "b", b"k"));
