Forget a reported service time within milliseconds

Cause: noise lasts 5 to 50 ms, and the slow answers that report it come when it is nearly over. Entries then avoided a backend server that was well again and crowded the others; the median rose as well. Ruled out: the detection of silence (p99 with noise the same with a threshold of 4 or 100 service times). Change: half-life of the reported service time from 50 to 5 ms.

--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -79,7 +79,7 @@
             remote_bytes_per_s: 2_000_000.0,
             initial_service_time: Duration::from_millis(10),
             calls_half_life: 0.25,
-            service_time_half_life: Duration::from_millis(50),
+            service_time_half_life: Duration::from_millis(5),
             silence_min: 2.0,
             crowding: 0.25,
             report_lifetime: Duration::from_secs(1),
