Shrink the limit only when answers are five times slower than usual

Cause: after noise the limit stayed low for a while although the slots were well again, so calls queued and were recalled. Change: ratio of smoothed to usual service time from 2.5 to 5.

--- a/src/gate/settings.rs
+++ b/src/gate/settings.rs
@@ -42,7 +42,7 @@
             initial_service_time: Duration::from_millis(10),
             drain_queue_time: Duration::from_secs(1),
             failure_streak: 3,
-            slow_ratio: 2.5,
+            slow_ratio: 5.0,
             pause_min: Duration::from_millis(100),
             pause_max: Duration::from_secs(5),
             drain_hold: Duration::from_secs(2),
