--- a/src/node/report.rs
+++ b/src/node/report.rs
@@ -7,7 +7,6 @@
 
 use super::control::Reading;
 use crate::call::Admission;
-use crate::gate::State;
 use crate::membership::Handle;
 use crate::plan::Version;
 use crate::telemetry::metric::{Metrics, Name, tag};
@@ -21,7 +20,7 @@
 /// Bytes of one page of memory.
 const PAGE_BYTES: u64 = 4_096;
 
-/// Reports gauges and logs changes of the gate's state.
+/// Reports gauges.
 pub struct Reporter {
     pub handle: Handle,
     pub admission: Arc<Admission>,
@@ -33,36 +32,26 @@
     plan: Version,
     plan_since: Instant,
     cpu: Duration,
-    state: Option<State>,
 }
 
 impl Reporter {
-    /// Reports until dropped.
+    /// Reports until dropped; at once done when metrics go nowhere.
     pub async fn run(self) {
+        if !self.metrics.is_on() {
+            return;
+        }
         let mut interval = tokio::time::interval(INTERVAL);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut before = Before {
             plan: Version::default(),
             plan_since: Instant::now(),
             cpu: self.cpu.total(),
-            state: None,
         };
         loop {
             interval.tick().await;
-            self.log_state(&mut before);
-            if self.metrics.is_on() {
-                self.report_gate();
-                self.report_plan(&mut before);
-                self.report_process(&mut before);
-            }
-        }
-    }
-
-    fn log_state(&self, before: &mut Before) {
-        let state = self.admission.state();
-        if before.state != Some(state) {
-            log::info!("backend server is {state}");
-            before.state = Some(state);
+            self.report_gate();
+            self.report_plan(&mut before);
+            self.report_process(&mut before);
         }
     }
 
