--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -101,10 +101,7 @@
                 self.says_cold = true;
                 self.transition(Phase::fell);
             }
-            Sign::Serving => {
-                self.says_cold = false;
-                self.resume(now);
-            }
+            Sign::Serving => self.says_cold = false,
             Sign::Draining => {
                 self.transition(|phase| phase.drained(Drain::Announced, now));
                 self.refuse_queue(Reason::Draining, actions);
@@ -260,14 +257,6 @@
         self.refuse_queue(Reason::Unreachable, actions);
     }
 
-    fn resume(&mut self, now: Time) {
-        if let Some((Drain::Announced, since)) = self.phase.drain()
-            && now.since(since) >= self.settings.drain_hold
-        {
-            self.transition(Phase::restarted);
-        }
-    }
-
     fn transition(&mut self, step: impl FnOnce(Phase) -> Phase) {
         let before = self.phase.state();
         self.phase = step(mem::replace(&mut self.phase, Phase::cold()));
--- a/src/gate/settings.rs
+++ b/src/gate/settings.rs
@@ -25,8 +25,6 @@
     pub pause_min: Duration,
     /// Longest pause.
     pub pause_max: Duration,
-    /// Time a backend server's word that it drains outweighs a later good sign.
-    pub drain_hold: Duration,
 }
 
 impl Default for Settings {
@@ -45,7 +43,6 @@
             slow_ratio: 2.5,
             pause_min: Duration::from_millis(100),
             pause_max: Duration::from_secs(5),
-            drain_hold: Duration::from_secs(2),
         }
     }
 }
--- a/src/gate/tests/failures.rs
+++ b/src/gate/tests/failures.rs
@@ -114,6 +114,19 @@
     assert_eq!(harness.gate.state(), State::Cold);
 }
 
+fn misleading_health_does_not_end_a_drain() {
+    let mut harness = Harness::serving();
+    harness.sign(Sign::Boot(1));
+    harness.sign(Sign::Draining);
+    for _ in 0..10 {
+        harness.pass(1_000);
+        harness.sign(Sign::Serving);
+        harness.sign(Sign::Boot(1));
+    }
+    let refused = harness.arrive(1);
+    assert_eq!(harness.refused(refused), Some(Reason::Draining));
+}
+
 fn new_sheet_lowers_the_slots_without_cutting_calls() {
     let mut harness = Harness::serving();
     let running: Vec<_> = (0..8).map(|_| harness.arrive(1)).collect();
@@ -171,6 +184,7 @@
     zone_out_with_every_other_zone_full: full_zone_sheds_the_lowest_worth_of_a_departed_one();
     hopeless_deadline_is_refused: deadline_before_the_expected_start_is_refused_at_once();
     announced_drain_ends_with_a_restart: server_draining_by_itself_takes_work_again_after_a_restart();
+    announced_drain_outlasts_misleading_health: misleading_health_does_not_end_a_drain();
     fewer_slots_cut_nothing: new_sheet_lowers_the_slots_without_cutting_calls();
     limit_adapts_both_ways: slow_answers_shrink_the_limit_and_usual_ones_restore_it();
     report_is_exact: report_counts_what_runs_and_waits();
