Pass every word of the health endpoint to the gate again

Cause: the gate now ends an announced drain by a new boot id only, which holds against an endpoint that misleads for ever; passing on only news was a second mechanism for the same fault, and its recheck after two minutes would have let one call through. What is lost: a backend server that calls off its drain without a restart stays out until its node restarts.

--- a/src/backend/watch.rs
+++ b/src/backend/watch.rs
@@ -14,7 +14,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::{Admission, Cut};
-use crate::clock::{Clock, Time};
 use crate::gate::Sign;
 
 use super::Client;
@@ -30,8 +29,6 @@
     pub interval: Duration,
     /// Longest time an answer may take.
     pub timeout: Duration,
-    /// Time after which a good word counts again though nothing has changed.
-    pub recheck: Duration,
 }
 
 impl Default for Watch {
@@ -39,7 +36,6 @@
         Self {
             interval: Duration::from_millis(500),
             timeout: Duration::from_secs(1),
-            recheck: Duration::from_mins(2),
         }
     }
 }
@@ -51,30 +47,6 @@
     boot: Option<String>,
 }
 
-/// Picks what is news out of what the endpoint says.
-///
-/// Bad news always is. A good word is when it differs from the word before, or
-/// once in a while: an endpoint that says "serving" all along knows nothing of a
-/// drain that answers have told of, and must not end it.
-#[derive(Debug, Default)]
-struct News {
-    before: Option<Sign>,
-    since: Option<Time>,
-}
-
-impl News {
-    fn of(&mut self, now: Time, sign: Sign, recheck: Duration) -> Option<Sign> {
-        let repeated = sign == Sign::Serving && self.before == Some(sign);
-        let recent = self.since.is_some_and(|since| now.since(since) < recheck);
-        self.before = Some(sign);
-        if repeated && recent {
-            return None;
-        }
-        self.since = Some(now);
-        Some(sign)
-    }
-}
-
 /// Asks until `shutdown` and passes what it learns to the gate.
 pub async fn watch(
     settings: Watch,
@@ -84,19 +56,13 @@
 ) {
     let mut ticks = interval(settings.interval);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let clock = Clock::start();
-    let mut news = News::default();
     loop {
         tokio::select! {
             () = shutdown.cancelled() => return,
             _ = ticks.tick() => {}
         }
         match timeout(settings.timeout, ask(client.as_ref())).await {
-            Ok(Some(report)) => {
-                let sign = state_sign(report.state.as_bytes());
-                let told = sign.and_then(|sign| news.of(clock.now(), sign, settings.recheck));
-                pass_on(&report, told, &admission);
-            }
+            Ok(Some(report)) => pass_on(&report, &admission),
             Ok(None) | Err(_) => admission.sign(Sign::Unhealthy),
         }
     }
@@ -115,14 +81,11 @@
     serde_json::from_slice(&bytes).ok()
 }
 
-fn pass_on(report: &Report, told: Option<Sign>, admission: &Admission) {
+fn pass_on(report: &Report, admission: &Admission) {
     if let Some(boot) = &report.boot {
         admission.sign(Sign::Boot(xxh3_64(boot.as_bytes())));
     }
-    if let Some(sign) = told {
+    if let Some(sign) = state_sign(report.state.as_bytes()) {
         admission.sign(sign);
     }
 }
-
-#[cfg(test)]
-mod tests;
