Let two relays of each region follow the store

Cause: with two followers a zone, 12 watches wait in 6 zones (20 in 10), each sheet of 20 kB is sent to each (24.5 kB/s a watch at a sheet a second), most of it across regions, and every relay exchanges heartbeats with other regions. Ruled out: fewer relays a zone, which would leave a zone with one. Change: two followers of each region among its relays by rank; they pass changes to all relays of the region and to the followers of the other regions.

--- a/src/membership/core/heartbeat.rs
+++ b/src/membership/core/heartbeat.rs
@@ -42,7 +42,7 @@
         actions: &mut Vec<Action>,
     ) -> Heartbeat {
         self.notice_pause(now, actions);
-        self.last_contact = Some(now);
+        self.hear_from(now, beat.from);
         self.compare(now, beat, actions);
         self.settle(now, actions);
         self.heartbeat(beat.from)
@@ -55,7 +55,7 @@
             self.failed(now, id, Failure::Refused, actions);
             return;
         }
-        self.last_contact = Some(now);
+        self.hear_from(now, id);
         self.suspects.remove(&id);
         self.witnesses.withdraw(self.me, id);
         if self.quarantine.remove(&id) {
--- a/src/membership/core/mod.rs
+++ b/src/membership/core/mod.rs
@@ -120,6 +120,7 @@
     last_tick: Time,
     last_bump: Option<Time>,
     last_contact: Option<Time>,
+    last_follower: Option<Time>,
     published: Option<Snapshot>,
     rng: ChaCha8Rng,
 }
@@ -170,6 +171,7 @@
             last_tick: now,
             last_bump: None,
             last_contact: None,
+            last_follower: None,
             published: None,
             rng: ChaCha8Rng::seed_from_u64(settings.seed ^ me.0),
             settings,
@@ -219,7 +221,10 @@
     /// Whether this node keeps a watch on the store.
     #[must_use]
     pub fn follows_store(&self, now: Time) -> bool {
-        !self.leaving && (self.is_relay() || self.has_heard_nothing(now))
+        let needed = self.topology.is_follower()
+            || self.has_heard_nothing(now)
+            || (self.is_relay() && self.has_heard_no_follower(now));
+        !self.leaving && needed
     }
 
     /// The situation, if it has changed since the last call.
@@ -376,6 +381,20 @@
             .is_none_or(|last| now.since(last) >= self.settings.timing.lonely_after)
     }
 
+    /// A zone that its region's followers do not reach looks after itself.
+    fn has_heard_no_follower(&self, now: Time) -> bool {
+        self.last_follower
+            .is_none_or(|last| now.since(last) >= self.settings.timing.lonely_after)
+    }
+
+    /// Notes that `from` is within reach.
+    fn hear_from(&mut self, now: Time, from: Id) {
+        self.last_contact = Some(now);
+        if self.topology.followers.contains(&from) {
+            self.last_follower = Some(now);
+        }
+    }
+
     fn address(&self, id: Id) -> Option<SocketAddr> {
         self.roster.get(id).map(|entry| entry.instance.control)
     }
--- a/src/membership/core/spread.rs
+++ b/src/membership/core/spread.rs
@@ -24,7 +24,7 @@
     /// Takes in news from a peer.
     pub fn receive_news(&mut self, now: Time, news: News, actions: &mut Vec<Action>) {
         self.notice_pause(now, actions);
-        self.last_contact = Some(now);
+        self.hear_from(now, news.from);
         self.learn(now, news.entries);
         for accusation in news.accusations {
             self.hear(now, news.from, accusation);
--- a/src/membership/topology.rs
+++ b/src/membership/topology.rs
@@ -12,6 +12,8 @@
 
 /// Relays of each availability zone.
 pub const RELAYS_PER_ZONE: usize = 2;
+/// Relays of each region that follow the store and speak to other regions.
+pub const FOLLOWERS_PER_REGION: usize = 2;
 /// Monitors of an instance in its own zone, and as many in a zone beside it.
 const MONITORS_PER_ZONE: usize = 2;
 /// Monitors that must agree, where there are as many.
@@ -27,8 +29,10 @@
     pub targets: BTreeMap<Id, Vec<Id>>,
     /// Relays of this node's zone, best first.
     pub relays: Vec<Id>,
+    /// Relays of this node's region that follow the store, best first.
+    pub followers: Vec<Id>,
     /// Relays elsewhere that this node exchanges with; empty if it is no relay.
-    pub peers: Vec<Id>,
+    pub peers: BTreeSet<Id>,
     /// Present nodes of this node's zone.
     pub zone: Vec<Id>,
     /// Present nodes of the fleet.
@@ -65,6 +69,7 @@
         if let Some(place) = topology.places.get(&me).cloned() {
             topology.zone = topology.zones.get(&place).cloned().unwrap_or_default();
             topology.relays = topology.relays_of(&place);
+            topology.followers = topology.followers_of(&place.region);
             topology.peers = topology.peers_at(&place);
             topology.targets = topology.targets_of(&place);
         }
@@ -77,6 +82,12 @@
         self.relays.contains(&self.me)
     }
 
+    /// Whether this node follows the store for its region.
+    #[must_use]
+    pub fn is_follower(&self) -> bool {
+        self.followers.contains(&self.me)
+    }
+
     /// Whom this node tells what it has learned first.
     #[must_use]
     pub fn recipients(&self) -> BTreeSet<Id> {
@@ -85,6 +96,11 @@
             recipients.extend(&self.zone);
             recipients.extend(&self.peers);
         }
+        if self.is_follower()
+            && let Some(here) = self.places.get(&self.me)
+        {
+            recipients.extend(self.relays_in(&here.region));
+        }
         recipients.remove(&self.me);
         recipients
     }
@@ -164,35 +180,46 @@
         best(nodes, key, RELAYS_PER_ZONE)
     }
 
+    /// Relays of all zones of `region`.
+    fn relays_in(&self, region: &str) -> impl Iterator<Item = Id> {
+        let zones = self.zones.keys().filter(move |zone| zone.region == region);
+        zones.flat_map(|zone| self.relays_of(zone))
+    }
+
+    fn followers_of(&self, region: &str) -> Vec<Id> {
+        let relays: Vec<Id> = self.relays_in(region).collect();
+        best(relays.iter(), Id::of(region), FOLLOWERS_PER_REGION)
+    }
+
     /// For a relay of rank n, the relays of rank n in the zones of its region,
-    /// and in one zone of each other region.
-    fn peers_at(&self, here: &Place) -> Vec<Id> {
+    /// and the followers of the region. For a follower of rank n, also the
+    /// followers of rank n elsewhere: only they speak across regions.
+    fn peers_at(&self, here: &Place) -> BTreeSet<Id> {
+        let mut peers = BTreeSet::new();
         let Some(rank) = self.relays.iter().position(|id| *id == self.me) else {
-            return Vec::new();
+            return peers;
         };
-        let mut peers = Vec::new();
-        let mut remote: BTreeMap<&str, &Place> = BTreeMap::new();
+        peers.extend(&self.followers);
         for place in self.zones.keys().filter(|place| *place != here) {
             if place.region == here.region {
-                peers.extend(self.relay_of_rank(place, rank));
-                continue;
-            }
-            let score = |place: &Place| Id::of(&place.zone).score(Id::of(&here.zone));
-            let chosen = remote.entry(&place.region).or_insert(place);
-            if score(place) > score(chosen) {
-                *chosen = place;
+                peers.extend(of_rank(&self.relays_of(place), rank));
             }
         }
-        for place in remote.into_values() {
-            peers.extend(self.relay_of_rank(place, rank));
+        if let Some(rank) = self.followers.iter().position(|id| *id == self.me) {
+            let regions: BTreeSet<&str> =
+                self.zones.keys().map(|zone| zone.region.as_str()).collect();
+            for region in regions.into_iter().filter(|region| *region != here.region) {
+                peers.extend(of_rank(&self.followers_of(region), rank));
+            }
         }
+        peers.remove(&self.me);
         peers
     }
+}
 
-    fn relay_of_rank(&self, place: &Place, rank: usize) -> Option<Id> {
-        let relays = self.relays_of(place);
-        relays.get(rank).or(relays.first()).copied()
-    }
+/// The member of `relays` with `rank`, or the first where there are fewer.
+fn of_rank(relays: &[Id], rank: usize) -> Option<Id> {
+    relays.get(rank).or(relays.first()).copied()
 }
 
 /// The `count` nodes with the highest score for `key`, without itself.
