Tell one span per hop, and test ten hops deep

The gate and each attempt record a span that ends as cancelled when the call is dropped. A loop of services ends at the eleventh hop; a caller that leaves cancels ten hops; an HTTP/2 caller is served.

--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -14,12 +14,13 @@
 use crate::call::claim::{Claims, Question, Verdict};
 use crate::call::hop;
 use crate::call::{
-    Admission, Admitted, Body, Call, Context, Dispatched, Event, Ids, Loss, NotRun, Observer,
-    Reason, Routed, Shed, Situations, Trace, Unknown, region_names,
+    Admission, Admitted, Body, Call, Context, Dispatched, Duty, End, Event, Ids, Loss, NotRun,
+    Observer, Reason, Recording, Routed, Shed, Situations, Trace, Unknown, region_names,
 };
 use crate::clock::{Clock, Time};
 use crate::gate::{Load, Sign};
 use crate::headers;
+use crate::membership::Situation;
 use crate::plan::{Plan, Regions, Version, key};
 use crate::routing::Place;
 
@@ -101,7 +102,8 @@
 /// What the plan says of a call.
 #[derive(Clone, Debug)]
 struct Rule {
-    version: Version,
+    situation: Arc<Situation>,
+    route: key::Route,
     worth: u32,
     deadline: Duration,
     idempotent: bool,
@@ -134,16 +136,42 @@
             Ok(rule) => rule,
             Err(reason) => return self.refuse(call.refuse(reason)),
         };
+        let recording = Recording::begin(
+            &self.observer,
+            self.clock,
+            &rule.situation,
+            rule.route,
+            job.trace,
+            Duty::Gate,
+        );
         let call = call.route(rule.worth, started + rule.deadline);
+        let outcome = self.carry(call, job, rule, progress, body).await;
+        recording.end(match &outcome {
+            Outcome::Answered(response) => End::Answered(response.status()),
+            Outcome::NotRun(refused) => End::NotRun(refused.reason()),
+            Outcome::Unknown(unknown) => End::Unknown(unknown.loss()),
+        });
+        outcome
+    }
+
+    async fn carry(
+        &self,
+        call: Call<Routed>,
+        job: Job,
+        rule: Rule,
+        progress: &Progress,
+        body: impl FnOnce() -> Body + Send,
+    ) -> Outcome {
+        let arrived = self.clock.now();
         let call = match self.admit(call, progress).await {
             Ok(call) => call,
-            Err(refused) => return self.refuse(refused),
+            Err(refused) => return Outcome::NotRun(refused),
         };
-        let queue_time = self.clock.now().since(started);
+        let queue_time = self.clock.now().since(arrived);
         self.observer.event(Event::Admitted { queue_time });
         let rule = match self.rule_after_queue(&job, rule) {
             Ok(rule) => rule,
-            Err(reason) => return self.refuse(call.refuse(reason)),
+            Err(reason) => return Outcome::NotRun(call.refuse(reason)),
         };
         progress.admitted.notify_one();
         self.run(call, job, &rule, body).await
@@ -193,7 +221,7 @@
 
     /// The plan may have changed while the call was queued.
     fn rule_after_queue(&self, job: &Job, rule: Rule) -> Result<Rule, Reason> {
-        if self.plan() == rule.version {
+        if self.plan() == rule.situation.plan.version {
             return Ok(rule);
         }
         self.rule(job)
@@ -205,13 +233,14 @@
         if plan.version == Version::default() {
             return Err(Reason::NoPlan);
         }
-        self.rule_by(plan, job).map_err(|reason| {
+        self.rule_by(&situation, job).map_err(|reason| {
             let stale = job.plan < plan.version && reason != Reason::Malformed;
             if stale { Reason::StalePlan } else { reason }
         })
     }
 
-    fn rule_by(&self, plan: &Plan, job: &Job) -> Result<Rule, Reason> {
+    fn rule_by(&self, situation: &Arc<Situation>, job: &Job) -> Result<Rule, Reason> {
+        let plan = &situation.plan;
         if job.service != self.service {
             return Err(Reason::NoBackendServer);
         }
@@ -227,7 +256,8 @@
         }
         let route = plan.route(key);
         Ok(Rule {
-            version: plan.version,
+            situation: Arc::clone(situation),
+            route: key,
             worth: route.worth,
             deadline: route.deadline,
             idempotent: route.is_idempotent(&job.method),
@@ -244,11 +274,11 @@
     ) -> Outcome {
         let time_left = call.deadline().since(self.clock.now());
         if time_left < Duration::from_millis(1) {
-            return self.refuse(call.refuse(Reason::Deadline));
+            return Outcome::NotRun(call.refuse(Reason::Deadline));
         }
         let connected = timeout(time_left, self.client.connect(!rule.idempotent)).await;
         let Ok(Ok(connection)) = connected else {
-            return self.refuse(call.unreachable());
+            return Outcome::NotRun(call.unreachable());
         };
         let now = self.clock.now();
         let time_left = call.deadline().since(now);
@@ -283,14 +313,14 @@
         let sent = timeout(time_left, connection.send(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
-            Ok(Err(Failure::Unsent(proof))) => return self.refuse(call.unsent(proof)),
-            Ok(Err(Failure::Broken)) => return self.lose(call, Loss::BackendServer),
-            Err(_) => return self.lose(call, Loss::Deadline),
+            Ok(Err(Failure::Unsent(proof))) => return Outcome::NotRun(call.unsent(proof)),
+            Ok(Err(Failure::Broken)) => return Outcome::Unknown(call.lose(Loss::BackendServer)),
+            Err(_) => return Outcome::Unknown(call.lose(Loss::Deadline)),
         };
         let (mut head, body) = response.into_parts();
         self.read_signs(&head.headers);
         if let Some(proof) = Shed::in_head(&head) {
-            return self.refuse(call.shed(proof));
+            return Outcome::NotRun(call.shed(proof));
         }
         let call = call.answer(self.clock.now());
         let service_time = call.service_time();
@@ -304,11 +334,6 @@
         Outcome::Answered(Response::from_parts(head, body))
     }
 
-    fn lose(&self, call: Call<Dispatched>, loss: Loss) -> Outcome {
-        self.observer.event(Event::Lost(loss));
-        Outcome::Unknown(call.lose(loss))
-    }
-
     fn read_signs(&self, headers: &HeaderMap) {
         if let Some(boot) = headers.get(headers::BACKEND_BOOT) {
             self.admission.sign(Sign::Boot(xxh3_64(boot.as_bytes())));
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -19,6 +19,7 @@
 mod cycle;
 pub(crate) mod hop;
 mod observer;
+mod recording;
 mod refusal;
 mod situations;
 mod trace;
@@ -30,6 +31,7 @@
     Admitted, Answered, Call, Dispatched, Loss, NotRun, Received, Routed, Shed, Unknown, Unsent,
 };
 pub use observer::{Duty, End, Event, Ignore, Observer, Span};
+pub use recording::Recording;
 pub use refusal::Reason;
 pub use situations::{Situations, Snapshot};
 pub use trace::{Ids, Trace};
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::backend::{Job, Outcome, Progress};
-use crate::call::{Body, NotRun, Reason, Unknown};
+use crate::call::{Body, Duty, End, NotRun, Reason, Recording, Unknown};
 use crate::clock::Time;
 use crate::gate::Load;
 use crate::peer::wire::{Head, Open};
@@ -38,13 +38,27 @@
         let trace = routable.trace.child(&self.parts.ids);
         let mut headers = routable.headers.clone();
         trace.write(&mut headers);
-        if choice.local {
+        let recording = Recording::begin(
+            &self.parts.observer,
+            self.parts.clock,
+            &routable.situation,
+            routable.route,
+            trace,
+            Duty::Attempt,
+        );
+        let attempted = if choice.local {
             self.beside(routable, choice, upload, time_left, headers, ending)
                 .await
         } else {
             self.over_link(routable, choice, upload, time_left, headers, ending)
                 .await
-        }
+        };
+        recording.end(match &attempted {
+            Attempted::Answered(response) => End::Answered(response.status()),
+            Attempted::NotRun(refused, _) => End::NotRun(refused.reason()),
+            Attempted::Unknown(unknown, _) => End::Unknown(unknown.loss()),
+        });
+        attempted
     }
 
     async fn beside(
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 
 use crate::call::{
-    Body, Call, Cut, Duty, End, Event, NotRun, Reason, Received, Routed, Span, Unknown,
+    Body, Call, Cut, Duty, End, Event, NotRun, Reason, Received, Recording, Routed, Unknown,
 };
 use crate::clock::Time;
 use crate::peer::Upload;
@@ -64,12 +64,27 @@
         let call = call.route(routable.worth(), started + routable.time_left);
         let body = body.map_err(|_| Cut::Caller).boxed_unsync();
         let upload = Upload::new(body, routable.waits_for_continue);
-        let ended = self.run_once(call, &mut routable, upload).await;
-        self.record(&routable, started, &ended);
-        match ended {
-            Ended::Answered(response) => response,
-            Ended::NotRun(refused) => refusal::not_run(refused),
-            Ended::Unknown(unknown) => refusal::unknown(unknown),
+        let recording = Recording::begin(
+            &parts.observer,
+            parts.clock,
+            &routable.situation,
+            routable.route,
+            routable.trace,
+            Duty::Entry,
+        );
+        match self.run_once(call, &mut routable, upload).await {
+            Ended::Answered(response) => {
+                recording.end(End::Answered(response.status()));
+                response
+            }
+            Ended::NotRun(refused) => {
+                recording.end(End::NotRun(refused.reason()));
+                refusal::not_run(refused)
+            }
+            Ended::Unknown(unknown) => {
+                recording.end(End::Unknown(unknown.loss()));
+                refusal::unknown(unknown)
+            }
         }
     }
 
@@ -103,29 +118,6 @@
         refusal::elsewhere(refused, &refusable.addresses)
     }
 
-    fn record(&self, routable: &Routable, started: Time, ended: &Ended) {
-        let parts = &self.parts;
-        let end = match ended {
-            Ended::Answered(response) => End::Answered(response.status()),
-            Ended::NotRun(refused) => {
-                parts.observer.event(Event::Refused(refused.reason()));
-                End::NotRun(refused.reason())
-            }
-            Ended::Unknown(unknown) => {
-                parts.observer.event(Event::Lost(unknown.loss()));
-                End::Unknown(unknown.loss())
-            }
-        };
-        parts.observer.span(&Span {
-            trace: routable.trace,
-            duty: Duty::Entry,
-            service: routable.service_name(),
-            route: routable.route_name(),
-            elapsed: parts.clock.now().since(started),
-            end,
-        });
-    }
-
     async fn forward(&self, call: Call<Routed>, routable: &mut Routable, upload: Upload) -> Ended {
         let mut progress = Progress {
             avoid: Avoid::default(),
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -126,11 +126,6 @@
         &self.situation.plan.service(self.service).name
     }
 
-    /// Name of the route.
-    pub(super) fn route_name(&self) -> &str {
-        &self.situation.plan.route(self.route).name
-    }
-
     /// Stated worth of one answer.
     pub(super) fn worth(&self) -> u32 {
         self.situation.plan.route(self.route).worth
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod bodies;
 mod claims;
+mod depth;
 mod drain;
 mod hostile;
 mod rows;
