--- a/src/bin/monsooncove-sheet/clap_app.rs
+++ b/src/bin/monsooncove-sheet/clap_app.rs
@@ -57,6 +57,11 @@
             version("base", "Refuse unless this version is in force")
                 .long_help("Refuse unless this version is in force, as diff printed it"),
         )
+        .arg(
+            version("after", "Number the sheet after this version").long_help(
+                "Number the sheet after this version, which nodes follow and the store has lost",
+            ),
+        )
         .arg(
             Arg::new("wait")
                 .long("wait")
@@ -94,7 +99,14 @@
 fn status() -> Command {
     Command::new("status")
         .about("Show zones, services and backend servers, and which nodes are late")
-        .arg(store())
+        .arg(store().required(false).required_unless_present("node"))
+        .arg(
+            Arg::new("node")
+                .long("node")
+                .value_name("ADDR")
+                .value_parser(value_parser!(SocketAddr))
+                .help("Control address of a node to ask in place of the store"),
+        )
         .arg(json())
 }
 
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -10,7 +10,6 @@
 mod life;
 mod limit;
 mod load;
-mod pace;
 mod pause;
 mod queue;
 mod settings;
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -118,7 +118,7 @@
     /// Expected microseconds of waiting and of service for one more call.
     pub(super) fn expect(&self, now: Time, mean: &Mean, settings: &Settings) -> Expected {
         let (others, limit, reported_us) = self.aged(now, mean, settings);
-        let service_us = reported_us.max(self.silence_us(now, reported_us));
+        let service_us = reported_us.max(self.silence_us(now, reported_us * settings.silence_min));
         let total = others + f64::from(self.in_flight);
         let over = (total + 1.0 - limit).max(0.0);
         Expected {
@@ -143,9 +143,9 @@
     }
 
     /// Time without any answer while calls are in flight, when it is unusual.
-    fn silence_us(&self, now: Time, service_us: f64) -> f64 {
+    fn silence_us(&self, now: Time, least_us: f64) -> f64 {
         let silence_us = micros(now.since(self.last_event));
-        if self.in_flight == 0 || silence_us < 2.0 * service_us {
+        if self.in_flight == 0 || silence_us < least_us {
             0.0
         } else {
             silence_us
