Draw fewer candidates, and top up where a distance has few

Cause: entries with stale reports that all compare the same five or six candidates find the same best one. Change: own one, two of the own zone, one of the region, one of the others, and at least three in all, in place of three, two and two.

--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -62,6 +62,7 @@
         self.draw_from(Distance::Zone, self.settings.zone_candidates);
         self.draw_from(Distance::Region, self.settings.region_candidates);
         self.draw_from(Distance::Remote, self.settings.remote_candidates);
+        self.top_up();
         if self.drawn.is_empty() {
             self.draw_ejected();
         }
@@ -72,6 +73,16 @@
         best.copied().ok_or_else(|| self.why_none())
     }
 
+    /// Draws more, near ones first, when a distance had too few to offer.
+    fn top_up(&mut self) {
+        for distance in [Distance::Zone, Distance::Region, Distance::Remote] {
+            let missing = self.settings.candidates.saturating_sub(self.drawn.len());
+            if missing > 0 {
+                self.draw_from(distance, missing);
+            }
+        }
+    }
+
     fn draw_own(&mut self) {
         let Some(own) = self.pool.own else {
             return;
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -5,6 +5,8 @@
 /// How a router chooses.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
+    /// Candidates drawn in all, where there are so many.
+    pub candidates: usize,
     /// Candidates drawn in the own availability zone.
     pub zone_candidates: usize,
     /// Candidates drawn in the other availability zones of the own region.
@@ -69,9 +71,10 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            zone_candidates: 3,
-            region_candidates: 2,
-            remote_candidates: 2,
+            candidates: 3,
+            zone_candidates: 2,
+            region_candidates: 1,
+            remote_candidates: 1,
             zone_latency: Duration::from_micros(200),
             region_latency: Duration::from_millis(1),
             remote_latency: Duration::from_millis(20),
