Fall back to cold when latency collapses at low load

Five answers or more, over 200 ms or longer, each eight times slower than usual with at most half of the slots in use, mean a cold backend server; noise is shorter. Such answers do not warm it either. The usual service time no longer follows single slow answers.

--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -8,6 +8,7 @@
 use crate::clock::Time;
 
 use super::boots::Boots;
+use super::collapse::{self, Collapse};
 use super::life::{Drain, Phase};
 use super::limit::Limit;
 use super::pause::Pause;
@@ -22,6 +23,7 @@
     says_cold: bool,
     zone_out_since: Option<Time>,
     boots: Boots,
+    collapse: Collapse,
     limit: Limit,
     pause: Pause,
     running: BTreeMap<Ticket, Time>,
@@ -38,6 +40,7 @@
             says_cold: false,
             zone_out_since: None,
             boots: Boots::default(),
+            collapse: Collapse::default(),
             limit: Limit::new(&settings, now),
             pause: Pause::default(),
             running: BTreeMap::new(),
@@ -236,10 +239,15 @@
 
     fn answered(&mut self, now: Time, service_time: Duration) {
         let in_hand = self.in_hand();
+        let slowness = self.limit.slowness(service_time);
+        let is_low = in_hand <= self.settings.slots / 2;
+        if self.collapse.answered(now, slowness, is_low) {
+            self.transition(Phase::fell);
+        }
         self.limit
             .answered(now, service_time, in_hand, self.settings.slots);
         self.pause.succeeded();
-        if !self.says_cold {
+        if !self.says_cold && !collapse::is_slow(slowness) {
             let cold = self.settings.cold;
             self.transition(|phase| phase.answered(now, cold));
         }
--- a/src/gate/limit.rs
+++ b/src/gate/limit.rs
@@ -12,6 +12,8 @@
 const SMOOTHING: f64 = 0.2;
 const BASELINE_FALL: f64 = 0.2;
 const BASELINE_RISE: f64 = 0.01;
+/// Times the baseline at which samples are cut, so that a slow spell is not usual at once.
+const BASELINE_CUT: f64 = 2.0;
 const SHRINK: f64 = 0.8;
 
 /// Limit between one and the slots.
@@ -44,6 +46,11 @@
         (self.allowed as u32).clamp(1, slots.max(1))
     }
 
+    /// How many times slower than usual `service_time` is.
+    pub(super) fn slowness(&self, service_time: Duration) -> f64 {
+        micros(service_time) / self.baseline_us.max(1.0)
+    }
+
     pub(super) fn service_time(&self) -> Duration {
         Duration::from_secs_f64(self.smoothed_us / 1e6)
     }
@@ -85,7 +92,8 @@
         } else {
             BASELINE_RISE
         };
-        self.baseline_us += (sample - self.baseline_us) * rate;
+        let counted = sample.min(self.baseline_us * BASELINE_CUT);
+        self.baseline_us += (counted - self.baseline_us) * rate;
     }
 }
 
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod boots;
+mod collapse;
 mod life;
 mod limit;
 mod load;
--- a/src/gate/tests/failures.rs
+++ b/src/gate/tests/failures.rs
@@ -151,6 +151,22 @@
     assert_eq!(harness.gate.limit(), 8);
 }
 
+fn slow_answers_at_low_load_fall_back_to_cold_once_they_last() {
+    let mut harness = Harness::serving();
+    for _ in 0..3 {
+        let ticket = harness.arrive(1);
+        harness.pass(50);
+        harness.answer(ticket, 50);
+    }
+    assert_eq!(harness.gate.state(), State::Serving);
+    for _ in 0..4 {
+        let ticket = harness.arrive(1);
+        harness.pass(50);
+        harness.answer(ticket, 50);
+    }
+    assert_eq!(harness.gate.state(), State::Cold);
+}
+
 fn report_counts_what_runs_and_waits() {
     let mut harness = Harness::cold();
     for _ in 0..5 {
@@ -173,5 +189,6 @@
     announced_drain_ends_with_a_restart: server_draining_by_itself_takes_work_again_after_a_restart();
     fewer_slots_cut_nothing: new_sheet_lowers_the_slots_without_cutting_calls();
     limit_adapts_both_ways: slow_answers_shrink_the_limit_and_usual_ones_restore_it();
+    latency_collapse_means_cold: slow_answers_at_low_load_fall_back_to_cold_once_they_last();
     report_is_exact: report_counts_what_runs_and_waits();
 }
