--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -22,6 +22,8 @@
 mod recording;
 mod refusal;
 mod situations;
+#[cfg(test)]
+mod tests;
 mod trace;
 
 pub use admission::{Admission, Permit, Waiting};
--- a/src/call/trace.rs
+++ b/src/call/trace.rs
@@ -14,6 +14,7 @@
 pub struct Ids {
     seed: u64,
     next: AtomicU64,
+    kept_per_10k: u32,
 }
 
 impl Ids {
@@ -23,9 +24,21 @@
         Self {
             seed,
             next: AtomicU64::new(1),
+            kept_per_10k: 0,
         }
     }
 
+    /// Keeps `kept` of 10,000 traces that start here.
+    #[must_use]
+    pub const fn keep_per_10k(mut self, kept: u32) -> Self {
+        self.kept_per_10k = kept;
+        self
+    }
+
+    fn keeps(&self, id: u128) -> bool {
+        id % 10_000 < u128::from(self.kept_per_10k)
+    }
+
     /// A fresh id, never zero.
     pub fn next(&self) -> u64 {
         let count = self.next.fetch_add(1, Ordering::Relaxed);
@@ -56,12 +69,17 @@
             .and_then(|value| parse(value.as_bytes()));
         match parsed {
             Some(parent) => Self { span, ..parent },
-            None => Self {
-                id: u128::from(ids.next()) << 64 | u128::from(ids.next()),
-                parent: 0,
-                span,
-                sampled: false,
-            },
+            None => Self::start(span, ids),
+        }
+    }
+
+    fn start(span: u64, ids: &Ids) -> Self {
+        let id = u128::from(ids.next()) << 64 | u128::from(ids.next());
+        Self {
+            id,
+            parent: 0,
+            span,
+            sampled: ids.keeps(id),
         }
     }
 
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -65,7 +65,8 @@
         let handle = member.handle();
         let telemetry = Telemetry::new(metrics.clone(), tracer);
         let observer: Arc<dyn Observer> = Arc::new(telemetry);
-        let ids = Arc::new(Ids::new(fresh_seed(&settings)));
+        let ids = Ids::new(fresh_seed(&settings)).keep_per_10k(settings.trace_per_10k);
+        let ids = Arc::new(ids);
         let client = Arc::new(Http::new(
             settings.backend_server,
             backend::Settings::default(),
