--- a/src/bench/slopes/mod.rs
+++ b/src/bench/slopes/mod.rs
@@ -1,6 +1,7 @@
 //! What each role costs, as slopes over its size, from real processes.
 
 pub mod control;
+pub mod data;
 mod fit;
 #[cfg(test)]
 mod tests;
--- a/src/bin/monsooncove-bench/slopes.rs
+++ b/src/bin/monsooncove-bench/slopes.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use monsooncove::bench::fleet::Programs;
-use monsooncove::bench::slopes::control;
+use monsooncove::bench::slopes::{control, data};
 use monsooncove::{Error, Result};
 
 pub fn command() -> Command {
@@ -15,7 +15,7 @@
                 .long("part")
                 .value_name("NAME")
                 .required(true)
-                .value_parser(["control"])
+                .value_parser(["control", "data"])
                 .help("What to measure"),
         )
         .arg(
@@ -41,6 +41,24 @@
 }
 
 pub async fn run(matches: &ArgMatches) -> Result<bool> {
+    match matches.get_one::<String>("part").map(String::as_str) {
+        Some("data") => run_data(matches).await,
+        _ => run_control(matches).await,
+    }
+}
+
+async fn run_data(matches: &ArgMatches) -> Result<bool> {
+    let settings = data::Settings {
+        programs: Programs::beside_this()?,
+        seed: 1,
+    };
+    let done = |series: &data::Series| eprintln!("measured: {}", series.name);
+    let report = data::run(&settings, done).await?;
+    print!("{report}");
+    print_json(&report, matches)
+}
+
+async fn run_control(matches: &ArgMatches) -> Result<bool> {
     let number = |name| matches.get_one::<u32>(name).copied().unwrap_or(1);
     let settings = control::Settings {
         programs: Programs::beside_this()?,
@@ -57,8 +75,12 @@
     };
     let report = control::run(&settings, |sample| print!("{sample}")).await?;
     print!("{report}");
+    print_json(&report, matches)
+}
+
+fn print_json(report: &impl serde::Serialize, matches: &ArgMatches) -> Result<bool> {
     if matches.get_flag("json") {
-        let json = serde_json::to_string(&report);
+        let json = serde_json::to_string(report);
         println!("{}", json.map_err(|error| Error::Io(error.into()))?);
     }
     Ok(true)
