--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -1,16 +1,19 @@
 //! Attempts at backend servers until one answers.
 
+use std::sync::Arc;
+
 use http::Response;
 use hyper::body::Incoming;
 
 use crate::call::{
-    Body, Call, Cut, Duty, End, Event, NotRun, Reason, Received, Routed, Span, Unknown,
+    Body, Call, Cut, Duty, End, Event, NotRun, Reason, Received, Recording, Routed, Unknown,
 };
 use crate::clock::Time;
 use crate::peer::Upload;
 use crate::routing::{self, Ask, Avoid, Choice};
 
 use super::attempt::Attempted;
+use super::claim::{self, Claim, Obstacle};
 use super::request::{Refusable, Routable};
 use super::{Entry, refusal};
 
@@ -45,7 +48,10 @@
 
 impl Entry {
     /// Serves one request of a caller.
-    pub(super) async fn serve(&self, request: http::Request<Incoming>) -> Response<Body> {
+    pub(super) async fn serve(
+        self: &Arc<Self>,
+        request: http::Request<Incoming>,
+    ) -> Response<Body> {
         let parts = &self.parts;
         let started = parts.clock.now();
         parts.observer.event(Event::Received);
@@ -58,13 +64,52 @@
         let call = call.route(routable.worth(), started + routable.time_left);
         let body = body.map_err(|_| Cut::Caller).boxed_unsync();
         let upload = Upload::new(body, routable.waits_for_continue);
-        let ended = self.forward(call, &mut routable, upload).await;
-        self.record(&routable, started, &ended);
-        match ended {
-            Ended::Answered(response) => response,
-            Ended::NotRun(refused) => refusal::not_run(refused),
-            Ended::Unknown(unknown) => refusal::unknown(unknown),
+        let recording = Recording::begin(
+            &parts.observer,
+            parts.clock,
+            &routable.situation,
+            routable.route,
+            routable.trace,
+            Duty::Entry,
+        );
+        match self.run_once(call, &mut routable, upload).await {
+            Ended::Answered(response) => {
+                recording.end(End::Answered(response.status()));
+                response
+            }
+            Ended::NotRun(refused) => {
+                recording.end(End::NotRun(refused.reason()));
+                refusal::not_run(refused)
+            }
+            Ended::Unknown(unknown) => {
+                recording.end(End::Unknown(unknown.loss()));
+                refusal::unknown(unknown)
+            }
+        }
+    }
+
+    /// Runs a call, under its idempotency key if it has one.
+    async fn run_once(
+        self: &Arc<Self>,
+        call: Call<Routed>,
+        routable: &mut Routable,
+        upload: Upload,
+    ) -> Ended {
+        let key = match claim::key(routable) {
+            Ok(Some(key)) => key,
+            Ok(None) => return self.forward(call, routable, upload).await,
+            Err(reason) => return Ended::NotRun(call.refuse(reason)),
+        };
+        let claim = match Claim::take(self, routable, key).await {
+            Ok(claim) => claim,
+            Err(Obstacle::Refused(reason)) => return Ended::NotRun(call.refuse(reason)),
+            Err(Obstacle::Unknown(loss)) => return Ended::Unknown(Unknown::by(loss)),
+        };
+        let ended = self.forward(call, routable, upload).await;
+        if matches!(ended, Ended::NotRun(_)) {
+            claim.release_later(self);
         }
+        ended
     }
 
     fn refuse(&self, call: Call<Received>, refusable: &Refusable) -> Response<Body> {
@@ -73,29 +118,6 @@
         refusal::elsewhere(refused, &refusable.addresses)
     }
 
-    fn record(&self, routable: &Routable, started: Time, ended: &Ended) {
-        let parts = &self.parts;
-        let end = match ended {
-            Ended::Answered(response) => End::Answered(response.status()),
-            Ended::NotRun(refused) => {
-                parts.observer.event(Event::Refused(refused.reason()));
-                End::NotRun(refused.reason())
-            }
-            Ended::Unknown(unknown) => {
-                parts.observer.event(Event::Lost(unknown.loss()));
-                End::Unknown(unknown.loss())
-            }
-        };
-        parts.observer.span(&Span {
-            trace: routable.trace,
-            duty: Duty::Entry,
-            service: routable.service_name(),
-            route: routable.route_name(),
-            elapsed: parts.clock.now().since(started),
-            end,
-        });
-    }
-
     async fn forward(&self, call: Call<Routed>, routable: &mut Routable, upload: Upload) -> Ended {
         let mut progress = Progress {
             avoid: Avoid::default(),
@@ -165,12 +187,18 @@
         Ok(choice)
     }
 
+    fn may_retry(&self, now: Time, progress: &Progress) -> bool {
+        let refused = progress.refused.map(NotRun::reason);
+        let closed = progress.unknown.is_none() && refused.is_some_and(Reason::is_closing);
+        closed || self.router().may_retry(now)
+    }
+
     /// What is to be sent, if the call may be tried once more.
     fn next_attempt(&self, upload: Option<Upload>, progress: &Progress) -> Option<Upload> {
         let upload = upload.filter(Upload::is_replayable)?;
         let now = self.parts.clock.now();
         let spent = progress.attempts >= self.parts.settings.max_attempts;
-        if spent || now >= progress.deadline || !self.router().may_retry(now) {
+        if spent || now >= progress.deadline || !self.may_retry(now, progress) {
             return None;
         }
         self.parts.observer.event(Event::Retried);
--- a/src/gate/settings.rs
+++ b/src/gate/settings.rs
@@ -25,8 +25,6 @@
     pub pause_min: Duration,
     /// Longest pause.
     pub pause_max: Duration,
-    /// Time a backend server's word that it drains outweighs a later good sign.
-    pub drain_hold: Duration,
 }
 
 impl Default for Settings {
@@ -42,10 +40,9 @@
             initial_service_time: Duration::from_millis(10),
             drain_queue_time: Duration::from_secs(1),
             failure_streak: 3,
-            slow_ratio: 2.5,
+            slow_ratio: 5.0,
             pause_min: Duration::from_millis(100),
             pause_max: Duration::from_secs(5),
-            drain_hold: Duration::from_secs(2),
         }
     }
 }
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -12,6 +12,7 @@
 use super::observe::Telemetry;
 use super::report::Reporter;
 use crate::backend::{self, Executor, Http};
+use crate::call::claim::Claims;
 use crate::call::{Admission, Ids, Observer};
 use crate::clock::Clock;
 use crate::entry::{self, Entry};
@@ -64,7 +65,8 @@
         let handle = member.handle();
         let telemetry = Telemetry::new(metrics.clone(), tracer);
         let observer: Arc<dyn Observer> = Arc::new(telemetry);
-        let ids = Arc::new(Ids::new(fresh_seed(&settings)));
+        let ids = Ids::new(fresh_seed(&settings)).keep_per_10k(settings.trace_per_10k);
+        let ids = Arc::new(ids);
         let client = Arc::new(Http::new(
             settings.backend_server,
             backend::Settings::default(),
@@ -78,6 +80,7 @@
             clock,
             observer: Arc::clone(&observer),
             ids: Arc::clone(&ids),
+            claims: Claims::default(),
         });
         let router = Router::new(routing::Settings::default(), place.clone(), settings.seed);
         let router = Arc::new(Mutex::new(router));
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -5,6 +5,8 @@
 /// How a router chooses.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
+    /// Candidates drawn in all, where there are so many.
+    pub candidates: usize,
     /// Candidates drawn in the own availability zone.
     pub zone_candidates: usize,
     /// Candidates drawn in the other availability zones of the own region.
@@ -36,8 +38,11 @@
     pub crowding: f64,
     /// Age after which a report counts as missing.
     pub report_lifetime: Duration,
-    /// Time without new calls after a gate said that it takes none.
-    pub closed_time: Duration,
+    /// First time without new calls after a gate said that it takes none;
+    /// doubles with each that follows at once.
+    pub closed_min: Duration,
+    /// Longest time without new calls.
+    pub closed_max: Duration,
     /// Failures in a row that eject a backend server.
     pub failure_streak: u32,
     /// First time of an ejection; doubles with each that follows at once.
@@ -69,21 +74,23 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            zone_candidates: 3,
-            region_candidates: 2,
-            remote_candidates: 2,
+            candidates: 3,
+            zone_candidates: 2,
+            region_candidates: 1,
+            remote_candidates: 1,
             zone_latency: Duration::from_micros(200),
             region_latency: Duration::from_millis(1),
             remote_latency: Duration::from_millis(20),
             remote_gain: 0.1,
             remote_bytes_per_s: 2_000_000.0,
             initial_service_time: Duration::from_millis(10),
-            calls_half_life: 5.0,
-            service_time_half_life: Duration::from_millis(50),
+            calls_half_life: 0.25,
+            service_time_half_life: Duration::from_millis(5),
             silence_min: 2.0,
             crowding: 0.25,
             report_lifetime: Duration::from_secs(1),
-            closed_time: Duration::from_millis(250),
+            closed_min: Duration::from_millis(250),
+            closed_max: Duration::from_secs(4),
             failure_streak: 3,
             ejection_min: Duration::from_secs(1),
             ejection_max: Duration::from_secs(30),
