Take renewals out of step, and fit zones of four and more

Ruled out: the rate itself, which is at most 50 a second over an interval. Change: after a new lease the first renewal waits a uniform part of the interval. The steady state has to be measured over more than 15 s. Zones of one and two nodes lack watchers, so lines over the nodes of a zone leave them out.

--- a/src/bench/slopes/control/report.rs
+++ b/src/bench/slopes/control/report.rs
@@ -42,6 +42,9 @@
 /// How a figure is read from a sample.
 type Read = fn(&Sample) -> Option<f64>;
 
+/// Smaller zones have too few nodes to watch one another as larger ones do.
+const LEAST_NODES_PER_ZONE: u32 = 4;
+
 /// Figures that grow with the nodes of a zone.
 const PER_ZONE: [(&str, f64, Read); 14] = [
     ("member bytes/s, costliest", 10_000.0, |s| {
@@ -126,10 +129,15 @@
         let zone = |sample: &Sample| f64::from(sample.nodes) / f64::from(ZONES);
         let fleet = |sample: &Sample| f64::from(sample.nodes);
         let mut slopes = Vec::new();
+        let whole: Vec<Sample> = samples
+            .iter()
+            .filter(|sample| sample.nodes >= LEAST_NODES_PER_ZONE * ZONES)
+            .cloned()
+            .collect();
         for (name, bound, read) in PER_ZONE {
             let target = TARGET_NODES / TARGET_ZONES;
             slopes.extend(slope(
-                &samples,
+                &whole,
                 name,
                 "nodes of a zone",
                 target,
--- a/src/membership/announcer.rs
+++ b/src/membership/announcer.rs
@@ -85,7 +85,10 @@
         }
         if kept.is_ok() && self.held.is_some() {
             self.retry = FIRST_RETRY;
-            return interval.mul_f64(self.rng.random_range(0.8..=1.0));
+            // Nodes that started together must not renew together.
+            let is_new = matches!(kept, Ok(false));
+            let least = if is_new { 0.0 } else { 0.8 };
+            return interval.mul_f64(self.rng.random_range(least..=1.0));
         }
         let pause = self.retry.mul_f64(self.rng.random_range(0.5..=1.0));
         self.retry = (self.retry * 2).min(interval);
