Pass a text on before it is compiled

Followers, relays and members each compiled before they passed it on, so three compilations lay on the way. Ruled out: the store's answer, and bytes, which the machine does not limit. Change: the core keeps and spreads texts, the driver compiles after it has sent, and only a newer plan than the one in force is put in force. A node that cannot compile a text still passes it on.

--- a/src/membership/core/heartbeat.rs
+++ b/src/membership/core/heartbeat.rs
@@ -220,7 +220,7 @@
         let Some(address) = self.address(beat.from) else {
             return;
         };
-        if beat.plan > self.stamp() && Some(beat.plan) != self.rejected {
+        if beat.plan > self.stamp() {
             self.fetch(now, address, actions);
         }
         let digests = Digests {
--- a/src/membership/core/mod.rs
+++ b/src/membership/core/mod.rs
@@ -22,7 +22,7 @@
 use super::roster::{Entry, Roster, Standing};
 use super::text::{Stamp, Text, Texts};
 use super::topology::Topology;
-use super::{Compile, Epoch, Id, Instance, Situation, State, View};
+use super::{Epoch, Id, Instance, Situation, State, View};
 use crate::clock::Time;
 use crate::plan::{Plan, Version};
 
@@ -37,8 +37,6 @@
 pub struct Settings {
     /// Announcement of this node, with its first epoch.
     pub instance: Instance,
-    /// Makes a plan of a text.
-    pub compile: Compile,
     /// Addresses to learn plan and view from.
     pub join: Vec<SocketAddr>,
     /// Seed of every random decision.
@@ -80,6 +78,8 @@
         /// What this node has.
         have: Stamp,
     },
+    /// Compile the newest text; report the plan.
+    Compile(Arc<Text>),
     /// Write the announcement to the store again: its epoch has changed.
     Reannounce,
 }
@@ -105,7 +105,7 @@
     topology_generation: u64,
     texts: Texts,
     plan: Arc<Plan>,
-    rejected: Option<Stamp>,
+    in_force: Stamp,
     watches: BTreeMap<Id, Watch>,
     witnesses: Witnesses,
     suspects: BTreeSet<Id>,
@@ -130,6 +130,7 @@
 struct Pending {
     entries: BTreeSet<Id>,
     plan: bool,
+    compile: bool,
     last_flush: Option<Time>,
 }
 
@@ -156,7 +157,7 @@
             topology_generation: 0,
             texts: Texts::default(),
             plan: Arc::default(),
-            rejected: None,
+            in_force: Stamp::default(),
             watches: BTreeMap::new(),
             witnesses: Witnesses::default(),
             suspects: BTreeSet::new(),
@@ -194,6 +195,12 @@
         self.texts.stamp()
     }
 
+    /// Name of the text whose plan is in force.
+    #[must_use]
+    pub const fn in_force(&self) -> Stamp {
+        self.in_force
+    }
+
     /// Version of the plan in force.
     #[must_use]
     pub fn version(&self) -> Version {
@@ -231,7 +238,7 @@
     pub fn take_situation(&mut self) -> Option<Situation> {
         let snapshot = Snapshot {
             generation: self.roster.generation(),
-            plan: self.stamp(),
+            plan: self.in_force,
             quarantine: self.quarantine.clone(),
         };
         if self.published.as_ref() == Some(&snapshot) {
@@ -419,6 +426,11 @@
             let recipients = self.topology.recipients();
             self.flush(now, &recipients, actions);
         }
+        if std::mem::take(&mut self.pending.compile)
+            && let Some(text) = self.texts.newest()
+        {
+            actions.push(Action::Compile(text));
+        }
     }
 
     fn jitter(&mut self, interval: std::time::Duration) -> std::time::Duration {
--- a/src/membership/core/spread.rs
+++ b/src/membership/core/spread.rs
@@ -1,6 +1,7 @@
 //! Spreads plan texts and roster entries, and takes them in.
 
 use std::collections::BTreeSet;
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,6 +13,7 @@
 use crate::membership::message::News;
 use crate::membership::roster::Entry;
 use crate::membership::text::{Stamp, Text, Update};
+use crate::plan::Plan;
 
 /// Where something was learned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +31,7 @@
         for accusation in news.accusations {
             self.hear(now, news.from, accusation);
         }
-        if news.plan > self.stamp() && Some(news.plan) != self.rejected {
+        if news.plan > self.stamp() {
             let made = news.delta.and_then(|delta| self.texts.apply(&delta));
             match (made, self.address(news.from)) {
                 (Some(text), _) => self.adopt(text, Origin::Peer),
@@ -97,20 +99,34 @@
         }
     }
 
-    /// Puts a text in force if it is newer.
+    /// Keeps a text if it is newer. It is passed on before it is compiled here.
     pub(super) fn adopt(&mut self, text: Text, origin: Origin) {
-        let stamp = text.stamp();
-        if stamp <= self.stamp() || Some(stamp) == self.rejected {
+        if text.stamp() <= self.stamp() {
             return;
         }
-        match (self.settings.compile)(stamp.version, text.as_str()) {
+        self.texts.push(text);
+        self.pending.plan |= origin == Origin::Store || self.is_relay();
+        self.pending.compile = true;
+    }
+
+    /// Puts a compiled plan in force, unless a newer one is.
+    pub fn compiled(
+        &mut self,
+        now: Time,
+        stamp: Stamp,
+        plan: Result<Plan, Box<dyn Error + Send + Sync>>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.notice_pause(now, actions);
+        if stamp <= self.in_force {
+            return;
+        }
+        match plan {
             Ok(plan) => {
                 self.plan = Arc::new(plan);
-                self.texts.push(text);
-                self.pending.plan |= origin == Origin::Store || self.is_relay();
+                self.in_force = stamp;
             }
             Err(error) => {
-                self.rejected = Some(stamp);
                 log::error!("plan {} cannot be put in force: {error}", stamp.version);
             }
         }
--- a/src/membership/driver.rs
+++ b/src/membership/driver.rs
@@ -10,13 +10,13 @@
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
-use super::Id;
 use super::control::{Condition, Status};
 use super::core::{Action, Core};
 use super::handle::Publisher;
 use super::links::{Links, Meter};
 use super::message::{Heartbeat, News};
-use super::text::Stamp;
+use super::text::{Stamp, Text};
+use super::{Compile, Id};
 use crate::clock::{Clock, Time};
 
 /// How often the core is told the time.
@@ -32,6 +32,7 @@
 pub(super) struct Driver {
     core: Mutex<Core>,
     clock: Clock,
+    compile: Compile,
     links: Links,
     meter: Arc<Meter>,
     publisher: Publisher,
@@ -43,11 +44,12 @@
 }
 
 impl Driver {
-    pub(super) fn new(core: Core, clock: Clock, publisher: Publisher) -> Self {
+    pub(super) fn new(core: Core, clock: Clock, publisher: Publisher, compile: Compile) -> Self {
         let meter = Arc::<Meter>::default();
         Self {
             core: Mutex::new(core),
             clock,
+            compile,
             links: Links::new(Arc::clone(&meter)),
             meter,
             publisher,
@@ -144,9 +146,9 @@
         let mut actions = Vec::new();
         let mut core = self.lock();
         let now = self.clock.now();
-        let before = core.stamp();
+        let before = core.in_force();
         let result = event(&mut core, now, &mut actions);
-        if core.stamp() != before {
+        if core.in_force() != before {
             self.in_force_since_us.store(unix_us(), Ordering::Relaxed);
         }
         if let Some(situation) = core.take_situation() {
@@ -173,11 +175,20 @@
             } => tokio::spawn(driver.beat(to, address, heartbeat)),
             Action::Push { address, news } => tokio::spawn(driver.push(address, news)),
             Action::Pull { address, buckets } => tokio::spawn(driver.pull(address, buckets)),
+            Action::Compile(text) => tokio::spawn(driver.compile(text)),
             Action::Fetch { address, have } => tokio::spawn(driver.fetch(address, have)),
         };
         Some(task)
     }
 
+    async fn compile(self: Arc<Self>, text: Arc<Text>) {
+        // What was decided before this is sent first.
+        tokio::task::yield_now().await;
+        let stamp = text.stamp();
+        let plan = (self.compile)(stamp.version, text.as_str());
+        self.step(|core, now, actions| core.compiled(now, stamp, plan, actions));
+    }
+
     async fn beat(self: Arc<Self>, to: Id, address: SocketAddr, heartbeat: Heartbeat) {
         let answer = self
             .links
--- a/src/membership/follower.rs
+++ b/src/membership/follower.rs
@@ -125,7 +125,7 @@
     }
 
     async fn take_head(&self, head: Head) -> store::Result<()> {
-        if head.version < self.driver.read(Core::version) {
+        if head.version < self.driver.read(Core::stamp).version {
             return Ok(());
         }
         let Some(text) = head::read_text(&*self.client, &head).await? else {
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -65,7 +65,7 @@
     let handle = publisher.handle(suspicions);
     let clock = Clock::start();
     let core = Core::new(core_settings(&settings), clock.now());
-    let driver = Arc::new(Driver::new(core, clock, publisher));
+    let driver = Arc::new(Driver::new(core, clock, publisher, settings.compile));
     let server = Server {
         driver: Arc::clone(&driver),
         report: Arc::new(report),
@@ -89,7 +89,6 @@
             epoch: first_epoch(),
             ..settings.instance.clone()
         },
-        compile: settings.compile,
         join: settings.join.clone(),
         seed: settings.seed,
         timing: settings.timing,
--- a/src/membership/tests/fleet.rs
+++ b/src/membership/tests/fleet.rs
@@ -129,12 +129,6 @@
         };
         let settings = Settings {
             instance,
-            compile: |version, _| {
-                Ok(Plan {
-                    version,
-                    ..Plan::default()
-                })
-            },
             join,
             seed: u64::from(self.next_port),
             timing: Timing::default(),
@@ -307,12 +301,28 @@
                 Action::Push { address, news } => (address, Message::News(news)),
                 Action::Pull { address, buckets } => (address, Message::Pull(buckets)),
                 Action::Fetch { address, have } => (address, Message::Fetch(have)),
+                Action::Compile(text) => {
+                    self.compile(from, &text);
+                    continue;
+                }
                 Action::Reannounce => continue,
             };
             self.send(from, to, message);
         }
     }
 
+    fn compile(&mut self, address: SocketAddr, text: &Text) {
+        let now = self.now;
+        let stamp = text.stamp();
+        let plan = Plan {
+            version: stamp.version,
+            ..Plan::default()
+        };
+        let core = &mut self.nodes.get_mut(&address).unwrap().core;
+        core.compiled(now, stamp, Ok(plan), &mut Vec::new());
+        self.observe(address);
+    }
+
     fn send(&mut self, from: SocketAddr, to: SocketAddr, message: Message) {
         let lost = self.rng.random_bool(self.loss);
         let is_beat = matches!(message, Message::Beat(_));
--- a/src/membership/tests/lattice.rs
+++ b/src/membership/tests/lattice.rs
@@ -182,6 +182,37 @@
             assert_eq!(topology.targets.len(), 4);
         }
     };
+    roles_of_850_nodes_in_ten_zones: {
+        let places = [("x", 3_usize), ("y", 3), ("z", 4)];
+        let zones: Vec<(&str, String)> = places
+            .iter()
+            .flat_map(|(region, count)| {
+                (0..*count).map(move |zone| (*region, format!("{region}-{zone}")))
+            })
+            .collect();
+        let entries: Vec<Entry> = (0..850)
+            .map(|n| {
+                let (region, zone) = &zones[n % 10];
+                let mut entry = entry(&format!("n{n}"), zone, 1, Standing::Present);
+                entry.instance.region = (*region).to_owned();
+                entry
+            })
+            .collect();
+        let roster = merged(entries.iter());
+        let topologies: Vec<Topology> = entries
+            .iter()
+            .step_by(7)
+            .map(|entry| Topology::new(entry.id(), &roster))
+            .collect();
+        assert!(topologies.iter().all(|topology| topology.targets.len() <= 5));
+        let relays: Vec<Id> = topologies.iter().flat_map(|topology| topology.relays.clone()).collect();
+        let relays: std::collections::BTreeSet<Id> = relays.into_iter().collect();
+        assert_eq!(relays.len(), 20);
+        let peers = relays.iter().map(|relay| Topology::new(*relay, &roster).peers.len());
+        assert!(peers.max() <= Some(7));
+        let followers = relays.iter().filter(|relay| Topology::new(**relay, &roster).is_follower());
+        assert_eq!(followers.count(), 6);
+    };
     renewals_of_the_whole_fleet_stay_under_one_rate: {
         let settings = Settings::default();
         for nodes in [6_u32, 96, 850, 5_000] {
--- a/src/membership/tests/mod.rs
+++ b/src/membership/tests/mod.rs
@@ -1,3 +1,4 @@
+mod compile;
 mod convergence;
 mod failures;
 mod fleet;
--- a/src/membership/text.rs
+++ b/src/membership/text.rs
@@ -86,6 +86,12 @@
             .map_or_else(Stamp::default, |kept| kept.stamp)
     }
 
+    /// The newest text.
+    #[must_use]
+    pub fn newest(&self) -> Option<Arc<Text>> {
+        self.kept.back().map(|kept| Arc::clone(&kept.text))
+    }
+
     /// Takes in `text`, which must be newer than all before.
     pub fn push(&mut self, text: Text) {
         let stamp = text.stamp();
