--- /dev/null
+++ b/src/backend/executor.rs
@@ -0,0 +1,377 @@
+//! The gate's side of a call: plan, admission, dispatch, answer.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, Response, Uri, Version as HttpVersion};
+use http_body_util::BodyExt;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::call::claim::{Claims, Question, Verdict};
+use crate::call::hop;
+use crate::call::{
+    Admission, Admitted, Body, Call, Context, Dispatched, Duty, End, Event, Ids, Loss, NotRun,
+    Observer, Reason, Recording, Routed, Shed, Situations, Trace, Unknown, region_names,
+};
+use crate::clock::{Clock, Time};
+use crate::gate::{Load, Sign};
+use crate::headers;
+use crate::membership::Situation;
+use crate::plan::{Plan, Regions, Version, key};
+use crate::routing::Place;
+
+use super::answer::Tracked;
+use super::{Client, Connection, Failure};
+
+/// Runs calls on this node's own backend server.
+pub struct Executor {
+    /// Where the node runs.
+    pub place: Place,
+    /// Service of the backend server.
+    pub service: String,
+    /// Plan in force.
+    pub situations: Arc<dyn Situations>,
+    /// Admission to the backend server.
+    pub admission: Arc<Admission>,
+    /// Connections to the backend server.
+    pub client: Arc<dyn Client>,
+    /// Clock of the node.
+    pub clock: Clock,
+    /// Metrics.
+    pub observer: Arc<dyn Observer>,
+    /// Source of span ids.
+    pub ids: Arc<Ids>,
+    /// Claims on idempotency keys that this node holds.
+    pub claims: Claims,
+}
+
+impl fmt::Debug for Executor {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Executor")
+            .field("place", &self.place)
+            .field("service", &self.service)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A call for the backend server.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Service asked for.
+    pub service: String,
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query.
+    pub path: PathAndQuery,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Limits that travel with the call.
+    pub context: Context,
+    /// When the call is worth nothing any more.
+    pub deadline: Time,
+    /// Plan by which the entry chose.
+    pub plan: Version,
+    /// Span of the gate.
+    pub trace: Trace,
+}
+
+/// What became of a call.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The backend server answered.
+    Answered(Response<Body>),
+    /// It certainly did not run.
+    NotRun(NotRun),
+    /// It may have run.
+    Unknown(Unknown),
+}
+
+/// What passes between a running call and whoever waits for it.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Told when a queued call is to be withdrawn.
+    pub recall: Notify,
+    /// Told when the gate has let the call through.
+    pub admitted: Notify,
+}
+
+/// What the plan says of a call.
+#[derive(Clone, Debug)]
+struct Rule {
+    situation: Arc<Situation>,
+    route: key::Route,
+    worth: u32,
+    deadline: Duration,
+    idempotent: bool,
+    regions: Option<Vec<String>>,
+}
+
+impl Executor {
+    /// What entries are told of the backend server.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.admission.load()
+    }
+
+    /// Version of the plan in force.
+    #[must_use]
+    pub fn plan(&self) -> Version {
+        self.situations.situation().plan.version
+    }
+
+    /// Runs `job`. Asks for its body only when it is about to be sent.
+    pub async fn execute(
+        &self,
+        job: Job,
+        progress: &Progress,
+        body: impl FnOnce() -> Body + Send,
+    ) -> Outcome {
+        let started = self.clock.now();
+        let call = Call::receive(job.deadline);
+        let rule = match self.rule(&job) {
+            Ok(rule) => rule,
+            Err(reason) => return self.refuse(call.refuse(reason)),
+        };
+        let recording = Recording::begin(
+            &self.observer,
+            self.clock,
+            &rule.situation,
+            rule.route,
+            job.trace,
+            Duty::Gate,
+        );
+        let call = call.route(rule.worth, started + rule.deadline);
+        let outcome = self.carry(call, job, rule, progress, body).await;
+        recording.end(match &outcome {
+            Outcome::Answered(response) => End::Answered(response.status()),
+            Outcome::NotRun(refused) => End::NotRun(refused.reason()),
+            Outcome::Unknown(unknown) => End::Unknown(unknown.loss()),
+        });
+        outcome
+    }
+
+    async fn carry(
+        &self,
+        call: Call<Routed>,
+        job: Job,
+        rule: Rule,
+        progress: &Progress,
+        body: impl FnOnce() -> Body + Send,
+    ) -> Outcome {
+        let arrived = self.clock.now();
+        let call = match self.admit(call, progress).await {
+            Ok(call) => call,
+            Err(refused) => return Outcome::NotRun(refused),
+        };
+        let queue_time = self.clock.now().since(arrived);
+        self.observer.event(Event::Admitted { queue_time });
+        let rule = match self.rule_after_queue(&job, rule) {
+            Ok(rule) => rule,
+            Err(reason) => return Outcome::NotRun(call.refuse(reason)),
+        };
+        progress.admitted.notify_one();
+        self.run(call, job, &rule, body).await
+    }
+
+    /// Answers a question about an idempotency key, unless it is of a call that
+    /// nothing in this region may keep.
+    pub fn answer_claim(&self, question: &Question<'_>) -> Verdict {
+        let regions = question.regions;
+        if !regions.is_empty() && !regions.contains(&self.place.region) {
+            return Verdict::Unknown;
+        }
+        let situation = self.situations.situation();
+        let now = self.clock.now();
+        self.claims.note(now, &situation.view);
+        self.claims.answer(now, question)
+    }
+
+    fn refuse(&self, refused: NotRun) -> Outcome {
+        self.observer.event(Event::Refused(refused.reason()));
+        Outcome::NotRun(refused)
+    }
+
+    async fn admit(
+        &self,
+        call: Call<Routed>,
+        progress: &Progress,
+    ) -> Result<Call<Admitted>, NotRun> {
+        let mut waiting = self.admission.enter(call.worth(), call.deadline());
+        let verdict = loop {
+            tokio::select! {
+                biased;
+                verdict = &mut waiting => break verdict,
+                () = progress.recall.notified() => {
+                    if waiting.recall() {
+                        self.observer.event(Event::Recalled);
+                        break Err(Reason::Recalled);
+                    }
+                }
+            }
+        };
+        match verdict {
+            Ok(permit) => Ok(call.admit(permit)),
+            Err(reason) => Err(call.refuse(reason)),
+        }
+    }
+
+    /// The plan may have changed while the call was queued.
+    fn rule_after_queue(&self, job: &Job, rule: Rule) -> Result<Rule, Reason> {
+        if self.plan() == rule.situation.plan.version {
+            return Ok(rule);
+        }
+        self.rule(job)
+    }
+
+    fn rule(&self, job: &Job) -> Result<Rule, Reason> {
+        let situation = self.situations.situation();
+        let plan = &situation.plan;
+        if plan.version == Version::default() {
+            return Err(Reason::NoPlan);
+        }
+        self.rule_by(&situation, job).map_err(|reason| {
+            let stale = job.plan < plan.version && reason != Reason::Malformed;
+            if stale { Reason::StalePlan } else { reason }
+        })
+    }
+
+    fn rule_by(&self, situation: &Arc<Situation>, job: &Job) -> Result<Rule, Reason> {
+        let plan = &situation.plan;
+        if job.service != self.service {
+            return Err(Reason::NoBackendServer);
+        }
+        let service = plan.service_names.get(&job.service);
+        let &service = service.ok_or(Reason::UnknownService)?;
+        let route = plan.find_route(service, &job.method, job.path.path());
+        let key = route.ok_or(Reason::UnknownRoute)?;
+        let tenant = find_tenant(plan, &job.context)?;
+        let home = plan.home_regions(key, tenant);
+        let allowed = home.intersection(job.context.allowed(plan));
+        if !contains_region(plan, allowed, &self.place.region) {
+            return Err(Reason::Region);
+        }
+        let route = plan.route(key);
+        Ok(Rule {
+            situation: Arc::clone(situation),
+            route: key,
+            worth: route.worth,
+            deadline: route.deadline,
+            idempotent: route.is_idempotent(&job.method),
+            regions: region_names(plan, allowed),
+        })
+    }
+
+    async fn run(
+        &self,
+        call: Call<Admitted>,
+        job: Job,
+        rule: &Rule,
+        body: impl FnOnce() -> Body + Send,
+    ) -> Outcome {
+        let time_left = call.deadline().since(self.clock.now());
+        if time_left < Duration::from_millis(1) {
+            return Outcome::NotRun(call.refuse(Reason::Deadline));
+        }
+        let connected = timeout(time_left, self.client.connect(!rule.idempotent)).await;
+        let Ok(Ok(connection)) = connected else {
+            return Outcome::NotRun(call.unreachable());
+        };
+        let now = self.clock.now();
+        let time_left = call.deadline().since(now);
+        let request = self.request(job, rule, time_left);
+        let call = call.dispatch(now);
+        self.dispatch(call, connection, request.map(|()| body()), time_left)
+            .await
+    }
+
+    fn request(&self, job: Job, rule: &Rule, time_left: Duration) -> Request<()> {
+        let mut request = Request::new(());
+        *request.method_mut() = job.method;
+        *request.uri_mut() = Uri::from(job.path);
+        *request.version_mut() = HttpVersion::HTTP_11;
+        *request.headers_mut() = job.headers;
+        let context = Context {
+            regions: rule.regions.clone(),
+            ..job.context
+        };
+        context.write(request.headers_mut(), time_left);
+        job.trace.child(&self.ids).write(request.headers_mut());
+        request
+    }
+
+    async fn dispatch(
+        &self,
+        call: Call<Dispatched>,
+        connection: Box<dyn Connection>,
+        request: Request<Body>,
+        time_left: Duration,
+    ) -> Outcome {
+        let sent = timeout(time_left, connection.send(request)).await;
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(Failure::Unsent(proof))) => return Outcome::NotRun(call.unsent(proof)),
+            Ok(Err(Failure::Broken)) => return Outcome::Unknown(call.lose(Loss::BackendServer)),
+            Err(_) => return Outcome::Unknown(call.lose(Loss::Deadline)),
+        };
+        let (mut head, body) = response.into_parts();
+        self.read_signs(&head.headers);
+        if let Some(proof) = Shed::in_head(&head) {
+            return Outcome::NotRun(call.shed(proof));
+        }
+        let call = call.answer(self.clock.now());
+        let service_time = call.service_time();
+        self.observer.event(Event::Answered { service_time });
+        hop::strip(&mut head.headers);
+        for own in [headers::OUTCOME, headers::REASON, headers::SERVE_AT] {
+            // Only an entry may say these of this call.
+            head.headers.remove(own);
+        }
+        let body = Tracked::new(body, call).boxed_unsync();
+        Outcome::Answered(Response::from_parts(head, body))
+    }
+
+    fn read_signs(&self, headers: &HeaderMap) {
+        if let Some(boot) = headers.get(headers::BACKEND_BOOT) {
+            self.admission.sign(Sign::Boot(xxh3_64(boot.as_bytes())));
+        }
+        let state = headers.get(headers::BACKEND_STATE);
+        if let Some(sign) = state.and_then(|state| state_sign(state.as_bytes())) {
+            self.admission.sign(sign);
+        }
+    }
+}
+
+/// The sign in a backend server's word for its own state.
+pub(super) fn state_sign(word: &[u8]) -> Option<Sign> {
+    match word {
+        b"cold" => Some(Sign::Cold),
+        b"serving" => Some(Sign::Serving),
+        b"draining" => Some(Sign::Draining),
+        _ => None,
+    }
+}
+
+/// The tenant that a call names.
+///
+/// # Errors
+///
+/// Refuses a name that the plan does not know, since its regions are unknown.
+pub(crate) fn find_tenant(plan: &Plan, context: &Context) -> Result<Option<key::Tenant>, Reason> {
+    let Some(name) = &context.tenant else {
+        return Ok(None);
+    };
+    let tenant = plan.tenant_names.get(name);
+    tenant.copied().map(Some).ok_or(Reason::UnknownTenant)
+}
+
+/// Whether `allowed` holds the region of that name.
+pub(crate) fn contains_region(plan: &Plan, allowed: Regions, name: &str) -> bool {
+    match plan.region_names.get(name) {
+        Some(&region) => allowed.contains(region),
+        None => allowed == Regions::ALL,
+    }
+}
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -9,12 +9,13 @@
 
 use futures::future::try_join_all;
 
-pub use upstream::{Place, Upstream};
+pub use upstream::{Place, Spec, Upstream};
 
 use super::http::Client;
 use super::process::Process;
-use crate::standin::backend::{self, Checks, Control, Executions};
+use crate::standin::backend::{Checks, Control, Executions};
 use crate::standin::caller::Target;
+use crate::standin::store::{Counters, Faults};
 
 /// Longest wait for the end of a process that was asked to stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(40);
@@ -49,10 +50,8 @@
 pub struct Settings {
     /// Where the binaries are.
     pub programs: Programs,
-    /// One backend server with its node for each.
-    pub places: Vec<Place>,
-    /// How the backend servers behave; region and seed are set for each.
-    pub backend: backend::Settings,
+    /// Backend servers, each with its node.
+    pub upstreams: Vec<Spec>,
     /// Further flags of every node.
     pub node_flags: Vec<String>,
     /// Whether links between nodes pass through a [`crate::standin::wire::Wire`].
@@ -78,11 +77,8 @@
     pub async fn start(settings: Settings) -> io::Result<Self> {
         let mut store = Process::start("store", &settings.programs.bench, &["store"])?;
         let store_address = listening(&mut store).await?;
-        let starting = settings
-            .places
-            .iter()
-            .enumerate()
-            .map(|(index, place)| Upstream::start(&settings, place, index, store_address));
+        let starting = settings.upstreams.iter();
+        let starting = starting.map(|spec| Upstream::start(&settings, spec, store_address));
         let upstreams = try_join_all(starting).await?;
         Ok(Self {
             settings,
@@ -168,6 +164,26 @@
         self.client.post(address, "/-/control", control).await
     }
 
+    /// Sets the faults of the store, in place of those in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not accept them.
+    pub async fn set_store_faults(&self, faults: &Faults) -> io::Result<()> {
+        self.client
+            .post(self.store_address, "/-/faults", faults)
+            .await
+    }
+
+    /// Calls that the store counted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub async fn store_counters(&self) -> io::Result<Counters> {
+        self.client.get(self.store_address, "/-/counters").await
+    }
+
     /// Books of the backend servers.
     ///
     /// # Errors
--- /dev/null
+++ b/src/entry/tests/mod.rs
@@ -0,0 +1,10 @@
+//! Whole calls through nodes that run in this process, with backend servers
+//! that break on demand.
+
+mod bodies;
+mod claims;
+mod depth;
+mod drain;
+mod hostile;
+mod rows;
+pub mod world;
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use super::core::Timing;
 use super::{Epoch, Instance, State};
 use crate::plan::{Plan, Version};
 
@@ -21,6 +22,8 @@
     pub join: Vec<SocketAddr>,
     /// Seed of every random decision.
     pub seed: u64,
+    /// Intervals and timeouts between nodes.
+    pub timing: Timing,
     /// Longest time one watch waits at the store.
     pub watch_wait: Duration,
     /// Shortest time between two watches, so that changes are taken in batches.
@@ -29,6 +32,9 @@
     pub fleet_renewals_per_second: f64,
     /// Shortest time between two renewals of one node.
     pub renewal_floor: Duration,
+    /// Longest random wait before the first announcement, so that nodes that
+    /// start together do not write together. Peers are told without it.
+    pub announcement_spread: Duration,
     /// Renewals that may fail in a row before the lease lapses.
     pub renewals_per_lease: u32,
 }
@@ -40,10 +46,12 @@
             compile: empty_plan,
             join: Vec::new(),
             seed: 0,
+            timing: Timing::default(),
             watch_wait: Duration::from_secs(10),
             watch_spacing: Duration::from_millis(100),
             fleet_renewals_per_second: 50.0,
-            renewal_floor: Duration::from_secs(5),
+            renewal_floor: Duration::from_secs(15),
+            announcement_spread: Duration::from_secs(2),
             renewals_per_lease: 3,
         }
     }
--- /dev/null
+++ b/src/membership/topology.rs
@@ -0,0 +1,236 @@
+//! Who relays for a zone and who watches whom, by rendezvous rank.
+//!
+//! Every node computes this from its own roster. There is no election: nodes
+//! whose rosters differ for a moment may have one relay too many, which costs
+//! a doubled message and nothing else.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Id;
+use super::roster::{Roster, Standing};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Relays of each availability zone.
+pub const RELAYS_PER_ZONE: usize = 2;
+/// Relays of each region that follow the store and speak to other regions.
+pub const FOLLOWERS_PER_REGION: usize = 2;
+/// Monitors of an instance in its own zone, and as many in a zone beside it.
+const MONITORS_PER_ZONE: usize = 2;
+/// Monitors that must agree, where there are as many.
+pub const WITNESSES: usize = 2;
+
+/// Places of all nodes as seen by one.
+#[derive(Clone, Debug, Default)]
+pub struct Topology {
+    me: Id,
+    zones: BTreeMap<Place, Vec<Id>>,
+    places: BTreeMap<Id, Place>,
+    /// Instances this node watches, with all monitors of each.
+    pub targets: BTreeMap<Id, Vec<Id>>,
+    /// Relays of this node's zone, best first.
+    pub relays: Vec<Id>,
+    /// Relays of this node's region that follow the store, best first.
+    pub followers: Vec<Id>,
+    /// Relays elsewhere that this node exchanges with; empty if it is no relay.
+    pub peers: BTreeSet<Id>,
+    /// Present nodes of this node's zone.
+    pub zone: Vec<Id>,
+    /// Present nodes of the fleet.
+    pub present: usize,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    region: String,
+    zone: String,
+}
+
+impl Topology {
+    /// The topology that `roster` gives to `me`.
+    #[must_use]
+    pub fn new(me: Id, roster: &Roster) -> Self {
+        let mut topology = Self {
+            me,
+            ..Self::default()
+        };
+        for (id, entry) in roster.iter() {
+            let place = Place {
+                region: entry.instance.region.clone(),
+                zone: entry.instance.zone.clone(),
+            };
+            if entry.standing == Standing::Present {
+                topology.zones.entry(place.clone()).or_default().push(id);
+                topology.present += 1;
+            }
+            if entry.standing <= Standing::Down {
+                topology.places.insert(id, place);
+            }
+        }
+        if let Some(place) = topology.places.get(&me).cloned() {
+            topology.zone = topology.zones.get(&place).cloned().unwrap_or_default();
+            topology.relays = topology.relays_of(&place);
+            topology.followers = topology.followers_of(&place.region);
+            topology.peers = topology.peers_at(&place);
+            topology.targets = topology.targets_of(&place);
+        }
+        topology
+    }
+
+    /// Whether this node is a relay.
+    #[must_use]
+    pub fn is_relay(&self) -> bool {
+        self.relays.contains(&self.me)
+    }
+
+    /// Whether this node follows the store for its region.
+    #[must_use]
+    pub fn is_follower(&self) -> bool {
+        self.followers.contains(&self.me)
+    }
+
+    /// Whom this node tells what it has learned first.
+    #[must_use]
+    pub fn recipients(&self) -> BTreeSet<Id> {
+        let mut recipients: BTreeSet<Id> = self.relays.iter().copied().collect();
+        if self.is_relay() {
+            recipients.extend(&self.zone);
+            recipients.extend(&self.peers);
+        }
+        if self.is_follower()
+            && let Some(here) = self.places.get(&self.me)
+        {
+            recipients.extend(self.relays_in(&here.region));
+        }
+        recipients.remove(&self.me);
+        recipients
+    }
+
+    /// Monitors of an instance: the nodes before it in the circle of its own
+    /// zone, and those at the same place in the circle of the zone beside.
+    /// Every node so watches, and is watched by, nearly the same number.
+    #[must_use]
+    pub fn monitors_of(&self, id: Id) -> Vec<Id> {
+        let Some(place) = self.places.get(&id) else {
+            return Vec::new();
+        };
+        let nobody = Vec::new();
+        let own = self.zones.get(place).unwrap_or(&nobody);
+        let position = own.partition_point(|other| *other < id);
+        let mut monitors: Vec<Id> = Vec::with_capacity(2 * MONITORS_PER_ZONE);
+        let before = own[..position].iter().rev();
+        let after = own[position..].iter().rev();
+        let others = before.chain(after).filter(|other| **other != id);
+        monitors.extend(others.take(MONITORS_PER_ZONE));
+        let beside = self.zone_beside(place);
+        if let Some(beside) = beside.and_then(|place| self.zones.get(place)) {
+            let start = position * beside.len() / own.len().max(1);
+            let from_start = beside.iter().cycle().skip(start);
+            monitors.extend(from_start.take(MONITORS_PER_ZONE.min(beside.len())));
+        }
+        if monitors.len() < WITNESSES {
+            let all = self.zones.values().flatten();
+            let others = all.filter(|other| !monitors.contains(other));
+            let missing = WITNESSES - monitors.len();
+            let found = best(others, id, missing);
+            monitors.extend(found);
+        }
+        monitors
+    }
+
+    /// The next zone of the same region, in a circle.
+    fn zone_beside(&self, place: &Place) -> Option<&Place> {
+        let region = || {
+            self.zones
+                .keys()
+                .filter(|other| other.region == place.region)
+        };
+        let after = region().find(|other| *other > place);
+        after
+            .or_else(|| region().next())
+            .filter(|found| *found != place)
+    }
+
+    /// Only instances in this zone and in the zone before it in the circle can
+    /// be targets, and those whose own zone has too few monitors.
+    fn targets_of(&self, here: &Place) -> BTreeMap<Id, Vec<Id>> {
+        let is_small = |place: &Place| self.zones.get(place).map_or(0, Vec::len) <= WITNESSES;
+        let near = |place: &Place| {
+            place == here
+                || is_small(place)
+                || self.zone_beside(place).is_some_and(|beside| beside == here)
+        };
+        let zones: BTreeSet<&Place> = self
+            .places
+            .values()
+            .collect::<BTreeSet<_>>()
+            .into_iter()
+            .filter(|place| near(place))
+            .collect();
+        self.places
+            .iter()
+            .filter(|(id, place)| **id != self.me && zones.contains(place))
+            .map(|(id, _)| (*id, self.monitors_of(*id)))
+            .filter(|(_, monitors)| monitors.contains(&self.me))
+            .collect()
+    }
+
+    fn relays_of(&self, place: &Place) -> Vec<Id> {
+        let key = Id(xxh3_64(place.zone.as_bytes()));
+        let nodes = self.zones.get(place).into_iter().flatten();
+        best(nodes, key, RELAYS_PER_ZONE)
+    }
+
+    /// Relays of all zones of `region`.
+    fn relays_in(&self, region: &str) -> impl Iterator<Item = Id> {
+        let zones = self.zones.keys().filter(move |zone| zone.region == region);
+        zones.flat_map(|zone| self.relays_of(zone))
+    }
+
+    fn followers_of(&self, region: &str) -> Vec<Id> {
+        let relays: Vec<Id> = self.relays_in(region).collect();
+        best(relays.iter(), Id::of(region), FOLLOWERS_PER_REGION)
+    }
+
+    /// For a relay of rank n, the relays of rank n in the zones of its region,
+    /// and the followers of the region. For a follower of rank n, also the
+    /// followers of rank n elsewhere: only they speak across regions.
+    fn peers_at(&self, here: &Place) -> BTreeSet<Id> {
+        let mut peers = BTreeSet::new();
+        let Some(rank) = self.relays.iter().position(|id| *id == self.me) else {
+            return peers;
+        };
+        peers.extend(&self.followers);
+        for place in self.zones.keys().filter(|place| *place != here) {
+            if place.region == here.region {
+                peers.extend(of_rank(&self.relays_of(place), rank));
+            }
+        }
+        if let Some(rank) = self.followers.iter().position(|id| *id == self.me) {
+            let regions: BTreeSet<&str> =
+                self.zones.keys().map(|zone| zone.region.as_str()).collect();
+            for region in regions.into_iter().filter(|region| *region != here.region) {
+                peers.extend(of_rank(&self.followers_of(region), rank));
+            }
+        }
+        peers.remove(&self.me);
+        peers
+    }
+}
+
+/// The member of `relays` with `rank`, or the first where there are fewer.
+fn of_rank(relays: &[Id], rank: usize) -> Option<Id> {
+    relays.get(rank).or(relays.first()).copied()
+}
+
+/// The `count` nodes with the highest score for `key`, without itself.
+fn best<'a>(nodes: impl Iterator<Item = &'a Id>, key: Id, count: usize) -> Vec<Id> {
+    let mut best: Vec<Id> = Vec::with_capacity(count + 1);
+    for id in nodes.copied().filter(|id| *id != key) {
+        let rank = best.partition_point(|other| other.score(key) > id.score(key));
+        if rank < count {
+            best.insert(rank, id);
+            best.truncate(count);
+        }
+    }
+    best
+}
--- a/src/sheet/tests/faults.rs
+++ b/src/sheet/tests/faults.rs
@@ -22,8 +22,6 @@
     empty_sheet: shows!(report(b""), @r#"row 1, column A, value "": fill the sheet; monsooncove-sheet example prints one"#);
     utf16: shows!(report(b"\xff\xfek\0i\0"), @r#"row 1, column A, value "UTF-16": export the sheet as CSV in UTF-8"#);
     latin_letters: shows!(report(b"kind,name\nregion,k\xf6ln\n"), @r#"
-        row 1, column A (kind), value "": add at least one row of kind zone
-        row 1, column A (kind), value "": add at least one row of kind service
         row 1, column C (region), value "": add the column region
         row 1, column C (state), value "": add the column state
         row 1, column C (slots), value "": add the column slots
@@ -39,7 +37,6 @@
         row 1, column C (deadline_ms), value "": add the column deadline_ms
         row 1, column C (second_copy), value "": add the column second_copy
         row 2, column B, value "k�ln": export the sheet as CSV in UTF-8
-        row 2, column B (name), value "k�ln": write a name of 1 to 63 lower-case letters, digits, dots and hyphens that begins and ends with a letter or digit
         "#);
     unknown_heading: shows!(faults("cold_allowance", "cold"), @r#"
         row 1, column F (cold), value "cold": use one of the headings kind, name, region, state, slots, cold_allowance, warm_steps, warm_step_ms, service, method, path, regions, worth, idempotent, deadline_ms, second_copy
@@ -62,7 +59,9 @@
     signed_number: shows!(faults("9,2,4,500", "9,+2,4,500"), @r#"row 11, column F (cold_allowance), value "+2": write a whole number from 1 to 9"#);
     number_with_decimals: shows!(faults("all,20,,800", "all,20,,0.8"), @r#"row 17, column O (deadline_ms), value "0.8": write a whole number from 1 to 3600000"#);
     cell_of_another_kind: shows!(faults("zone,cechy-a,cechy,in,", "zone,cechy-a,cechy,in,9"), @r#"row 5, column E (slots), value "9": clear the cell; a zone has no slots"#);
-    path_with_query: shows!(faults("/calendar", "/calendar?day=1"), @r#"row 17, column K (path), value "/calendar?day=1": write a path such as /orders: it begins with a slash, has no empty segment, no query and at most 512 characters of a URL path"#);
+    path_with_query: shows!(faults("/calendar", "/calendar?day=1"), @r#"row 17, column K (path), value "/calendar?day=1": write a path such as /orders: it begins with a slash, has no empty or dot segment, no query and at most 512 characters of a URL path"#);
+    path_with_dots: shows!(faults("/calendar", "/a/../calendar"), @r#"row 17, column K (path), value "/a/../calendar": write a path such as /orders: it begins with a slash, has no empty or dot segment, no query and at most 512 characters of a URL path"#);
+    path_with_needless_encoding: shows!(faults("/calendar", "/%63alendar"), @r#"row 17, column K (path), value "/%63alendar": write a path such as /orders: it begins with a slash, has no empty or dot segment, no query and at most 512 characters of a URL path"#);
     second_copy_of_a_call_that_runs_once: shows!(faults("80,no,2000,no", "80,no,2000,yes"), @r#"row 20, column P (second_copy), value "yes": write no; a second copy may run only where the call is idempotent"#);
     cell_without_heading: shows!(report(format!("{}region,x,,,,,,,,,,,,,,,y\n", example::FARM).as_bytes()), @r#"row 30, column Q, value "y": clear the cell; it has no heading"#);
     region_called_all: shows!(faults("region,cechy", "region,all"), @r#"
