--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use monsooncove::plan::{Plan, Version};
 use monsooncove::sheet::{self, Sheet};
 use monsooncove::standin::backend;
-use monsooncove::standin::caller::{self, Books, Kind};
+use monsooncove::standin::caller::{self, Books, Kind, Target};
 use tokio::task::JoinHandle;
 
 /// Two regions, three availability zones, one service.
@@ -130,8 +130,28 @@
 
     /// Starts callers in the background.
     pub fn call(&self, kinds: Vec<Kind>, rate: f64, seconds: u64) -> JoinHandle<Books> {
+        self.call_at(self.fleet.targets(), kinds, rate, seconds)
+    }
+
+    /// Starts callers who know nothing of home regions.
+    pub fn call_anywhere(&self, kinds: Vec<Kind>, rate: f64, seconds: u64) -> JoinHandle<Books> {
+        let targets = self.fleet.targets().into_iter();
+        let targets = targets.map(|target| Target {
+            region: None,
+            ..target
+        });
+        self.call_at(targets.collect(), kinds, rate, seconds)
+    }
+
+    fn call_at(
+        &self,
+        targets: Vec<Target>,
+        kinds: Vec<Kind>,
+        rate: f64,
+        seconds: u64,
+    ) -> JoinHandle<Books> {
         let settings = caller::Settings {
-            targets: self.fleet.targets(),
+            targets,
             kinds,
             rate,
             duration: Duration::from_secs(seconds),
--- a/tests/home_regions.rs
+++ b/tests/home_regions.rs
@@ -31,7 +31,7 @@
         wires.peer.search(MARK.as_bytes());
         wires.control.search(MARK.as_bytes());
     }
-    let calls = world.call(payments(&world), 100.0, 5);
+    let calls = world.call_anywhere(payments(&world), 100.0, 5);
     pause(2_000).await;
     let seen_at_home = seen(&world, MORAVA_A) + seen(&world, MORAVA_B);
     world.fleet.kill_node(MORAVA_A).await.unwrap();
--- a/tests/whole_answers.rs
+++ b/tests/whole_answers.rs
@@ -10,7 +10,7 @@
 use monsooncove::standin::caller::Kind;
 use monsooncove::standin::wire::Mode;
 
-const LONG_ANSWER_BYTES: usize = 400_000;
+const LONG_ANSWER_BYTES: usize = 1_000_000;
 
 fn with_long_answers(kinds: Vec<Kind>) -> Vec<Kind> {
     let longer = kinds.into_iter().map(|kind| Kind {
@@ -29,13 +29,19 @@
     let mut world = World::start(setup).await;
     let short = world.call(world.kinds(&["calendar", "order-place"]), 100.0, 6);
     let long = with_long_answers(world.kinds(&["calendar"]));
-    let long = world.call(long, 20.0, 6);
+    let long = world.call(long, 30.0, 6);
     pause(1_000).await;
+    let slow = Mode::Delay(Duration::from_millis(2));
     let modes = [
-        Mode::Delay(Duration::from_millis(15)),
+        slow,
+        Mode::Cut,
+        slow,
         Mode::Hold,
-        Mode::Pass,
         Mode::Cut,
+        slow,
+        Mode::Cut,
+        slow,
+        Mode::Hold,
         Mode::Pass,
     ];
     for mode in modes {
@@ -43,7 +49,7 @@
             let wires = world.fleet.upstreams()[index].wires.as_ref();
             wires.unwrap().peer.set(mode);
         }
-        pause(700).await;
+        pause(400).await;
     }
     world.fleet.kill_node(MORAVA_A).await.unwrap();
     for books in [short.await.unwrap(), long.await.unwrap()] {
