--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -2,6 +2,8 @@
 //! that break on demand.
 
 mod bodies;
+mod claims;
+mod depth;
 mod drain;
 mod hostile;
 mod rows;
