--- a/src/bench/overhead.rs
+++ b/src/bench/overhead.rs
@@ -130,6 +130,7 @@
         method: Method::GET,
         path: "/calendar/1".into(),
         idempotent: true,
+        keyed: false,
         home: Vec::new(),
         request_bytes: 0,
         answer_bytes: BODY_BYTES,
--- a/src/bench/tests/promises.rs
+++ b/src/bench/tests/promises.rs
@@ -19,6 +19,7 @@
         method: Method::POST,
         path: "/payments".into(),
         idempotent: false,
+        keyed: false,
         home: Vec::new(),
         request_bytes: 0,
         answer_bytes: 0,
--- a/src/bench/traffic.rs
+++ b/src/bench/traffic.rs
@@ -84,6 +84,7 @@
         tenant: tenant.map(|tenant| plan.tenant(tenant).name.clone()),
         path: format!("{}/1", route.path.trim_end_matches('/')),
         idempotent: route.is_idempotent(&method),
+        keyed: false,
         home: names(plan, home),
         request_bytes: if reads {
             0
--- a/src/standin/caller/client.rs
+++ b/src/standin/caller/client.rs
@@ -116,6 +116,9 @@
     if let Some(tenant) = &kind.tenant {
         builder = builder.header(headers::TENANT, tenant);
     }
+    if kind.keyed {
+        builder = builder.header(headers::IDEMPOTENCY_KEY, id);
+    }
     if !kind.home.is_empty() {
         builder = builder.header(payload::HOME, kind.home.join(","));
     }
--- a/src/standin/caller/mod.rs
+++ b/src/standin/caller/mod.rs
@@ -37,6 +37,8 @@
     pub path: String,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether its id is sent as the idempotency key.
+    pub keyed: bool,
     /// Regions it must stay in; empty for all.
     pub home: Vec<String>,
     /// Length of its body.
--- a/src/standin/caller/tests.rs
+++ b/src/standin/caller/tests.rs
@@ -18,6 +18,7 @@
         method: Method::POST,
         path: "/orders".into(),
         idempotent: false,
+        keyed: false,
         home: vec!["morava".into()],
         request_bytes: 100,
         answer_bytes: 70_000,
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use common::{CECHY_A, MORAVA_A, MORAVA_B, Setup, World, assert_held, pause};
-use monsooncove::bench::promises::Promise;
+use monsooncove::bench::promises::{Ledger, Promise};
 use monsooncove::standin::backend::{self, Control};
-use monsooncove::standin::caller::Kind;
+use monsooncove::standin::caller::{Books, Client, Ending, Entry, Kind, Protocol};
 use monsooncove::standin::wire::Mode;
 use nix::sys::signal::Signal;
 
@@ -69,3 +69,63 @@
     assert_held(&ledger, Promise::AtMostOnce);
     assert!(books.row(|_| true).answered > 0);
 }
+
+/// Orders that are sent three times, through three nodes.
+const KEYED_ORDERS: usize = 60;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_order_sent_through_several_nodes_runs_once_though_one_dies() {
+    let world = World::start(Setup::default()).await;
+    world.wait_until_acquainted().await;
+    keyed_orders_run_once(world).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_order_runs_once_though_nodes_have_just_started() {
+    keyed_orders_run_once(World::start(Setup::default()).await).await;
+}
+
+async fn keyed_orders_run_once(mut world: World) {
+    let kind = orders(&world).remove(0);
+    let kind = Kind {
+        keyed: true,
+        ..kind
+    };
+    let targets = world.fleet.targets();
+    let mut books = Books::new(vec![kind.clone()]);
+    for number in 0..KEYED_ORDERS {
+        let id = format!("order-{number}");
+        let client = Client::new(Protocol::Http2);
+        let copies = targets.iter().map(|target| {
+            let targets = [target.address];
+            let (client, kind, id) = (client.clone(), kind.clone(), id.clone());
+            async move { client.call(&targets, &kind, &id).await }
+        });
+        let copies = futures::future::join_all(copies);
+        if number == KEYED_ORDERS / 2 {
+            let (endings, killed) = tokio::join!(copies, world.fleet.kill_node(MORAVA_A));
+            killed.unwrap();
+            enter(&mut books, &id, endings);
+        } else {
+            enter(&mut books, &id, copies.await);
+        }
+    }
+    let executions = world.fleet.executions().await.unwrap();
+    let mut ledger = Ledger::default();
+    ledger.check_calls(&books, &executions);
+    assert_held(&ledger, Promise::AtMostOnce);
+    assert!(!executions.0.is_empty());
+}
+
+/// Enters the endings of all copies as one call each.
+fn enter(books: &mut Books, id: &str, endings: Vec<Ending>) {
+    for ending in endings {
+        books.add(Entry {
+            id: id.to_owned(),
+            kind: 0,
+            due: Duration::ZERO,
+            elapsed: Duration::ZERO,
+            ending,
+        });
+    }
+}
