--- a/src/bench/slopes/data/pair.rs
+++ b/src/bench/slopes/data/pair.rs
@@ -98,6 +98,7 @@
         service: "work".into(),
         tenant: None,
         idempotent: method.is_idempotent(),
+        keyed: false,
         method,
         path: path.to_owned(),
         home: Vec::new(),
