Wait for announcements before a run, and treat a zone without a row as out

An entry took a zone that the plan does not name for one in service, while its gates refused. Change: a run begins when the store and every node know all nodes; routing and gate agree that an unnamed zone is out.

--- a/src/bench/demo.rs
+++ b/src/bench/demo.rs
@@ -13,9 +13,12 @@
 use super::operator::Operator;
 use super::promises::{Ledger, Promise};
 use super::traffic;
+use crate::membership::INSTANCE_PREFIX;
 use crate::plan::Version;
 use crate::sheet::{Sheet, example};
 use crate::standin::caller::{self, Books};
+use crate::store::Client as _;
+use crate::store::http::{self as store, Http};
 
 use script::Script;
 
@@ -119,7 +122,8 @@
     Ok(Run { books, ledger })
 }
 
-/// Waits until every node has `version` in force.
+/// Waits until every node has `version` in force and knows every other, and
+/// the store has the announcement of each.
 ///
 /// # Errors
 ///
@@ -128,7 +132,29 @@
     let nodes = fleet.upstreams().iter();
     let waiting = nodes.map(|upstream| wait_until_node_has(upstream.ready.control, version));
     futures::future::try_join_all(waiting).await?;
-    Ok(())
+    let announced = async {
+        while !all_are_announced(fleet).await {
+            tokio::time::sleep(START_POLL_INTERVAL).await;
+        }
+    };
+    let waited = tokio::time::timeout(START_TIMEOUT, announced).await;
+    waited.map_err(|_| io::Error::other("the nodes do not all know each other in time"))
+}
+
+async fn all_are_announced(fleet: &Fleet) -> bool {
+    let expected = fleet.upstreams().len();
+    let store = Http::new(fleet.store(), store::Settings::default());
+    let listing = store.list(INSTANCE_PREFIX).await;
+    if listing.map_or(0, |listing| listing.records.len()) < expected {
+        return false;
+    }
+    for node in fleet.upstreams().iter().filter_map(|up| up.ready.control) {
+        let status = monitor::status(node).await;
+        if status.map_or(0, |status| status.instances as usize) < expected {
+            return false;
+        }
+    }
+    true
 }
 
 /// Waits until a node has `version` in force.
--- a/src/bench/slopes/data/series.rs
+++ b/src/bench/slopes/data/series.rs
@@ -21,7 +21,7 @@
     TARGET_NODES, TARGET_ROWS,
 };
 use crate::headers;
-use crate::membership::{Epoch, Instance, State};
+use crate::membership::{Epoch, INSTANCE_PREFIX, Instance, State};
 use crate::standin::caller;
 use crate::store::http::{self as store, Http};
 use crate::store::{Client as _, Expect, Write, WriteId};
@@ -252,7 +252,7 @@
     for number in 0..count {
         let name = format!("silent-{number}");
         let write = Write {
-            key: format!("/monsooncove/instance/{name}"),
+            key: format!("{INSTANCE_PREFIX}{name}"),
             value: Some(serde_json::to_string(&instance(name))?),
             expect: Expect::Anything,
             lease: None,
--- a/src/routing/member.rs
+++ b/src/routing/member.rs
@@ -71,7 +71,7 @@
         let service = *plan.service_names.get(&self.service_name)?;
         let region = plan.region_names.get(&self.region_name).copied();
         let zone = plan.zone_names.get(&self.zone_name).copied();
-        let in_service = zone.is_none_or(|zone| plan.zone(zone).in_service);
+        let in_service = zone.is_some_and(|zone| plan.zone(zone).in_service);
         let consistent = zone.is_none_or(|zone| region == Some(plan.zone(zone).region));
         consistent.then_some(Site {
             service,
