Recall on a stream of its own, and open a link only when it is served

Cause: in one run of the whole suite a stop under load gave one of 30 callers a 502 link-lost. The system accepts connections for a listener until it is closed, so the entry had opened a link that nobody served. Change: a link is open when the peer has answered a ping.

Recalls moved to a stream of their own, so that a call's stream ends upwards at once.

--- a/src/entry/tests/drain.rs
+++ b/src/entry/tests/drain.rs
@@ -4,9 +4,12 @@
 use futures::{StreamExt, stream};
 use http::{Method, Request};
 use http_body::Frame;
-use http_body_util::StreamBody;
+use http_body_util::{BodyExt, Empty, StreamBody};
 
-use super::world::{BackendServer, DESK, OK, Step, World, collect, run, start};
+use super::world::{BackendServer, DESK, OK, Spec, Step, World, collect, run, start};
+use crate::peer::wire::Open;
+use crate::peer::{self, Links, Reply, Terms, Upload};
+use crate::plan::Version;
 
 const SLOW: Step = Step::After(
     Duration::from_millis(200),
@@ -110,7 +113,49 @@
     assert_eq!(first.seen().len() + second.seen().len(), 30);
 }
 
+/// A call that waits behind another is given back; one that runs is not.
+async fn recalled_while(queued: bool, expected: &str, runs: usize) {
+    let server = BackendServer::start(&[SLOW]).await;
+    let narrow = Spec {
+        slots: if queued { 1 } else { 2 },
+        ..Spec::default()
+    };
+    let world = World::start_with(Spec::front(), narrow, &[&server]).await;
+    let links = Links::new(peer::Settings::default(), world.front.recorder.clone());
+    let open = Open {
+        call: 7,
+        plan: Version(1),
+        service: DESK.into(),
+        path: "/orders".into(),
+        time_left: Duration::from_secs(5),
+        bodiless: true,
+        ..Open::default()
+    };
+    let terms = Terms {
+        recall_after: Some(Duration::from_millis(20)),
+        time_left: Duration::from_secs(5),
+    };
+    let recalled = async {
+        seen_by(&server).await;
+        let empty = Empty::new().map_err(|never| match never {}).boxed_unsync();
+        let upload = Upload::new(empty, false);
+        match links
+            .exchange(world.desks[0].instance.peer, &open, upload, terms)
+            .await
+        {
+            Reply::NotRun { refused, .. } => refused.reason().to_string(),
+            Reply::Answered { head, .. } => head.status.to_string(),
+            Reply::Unknown { unknown, .. } => unknown.loss().to_string(),
+        }
+    };
+    let (first, second) = tokio::join!(world.call(Method::POST, "/orders", ""), recalled);
+    assert_eq!((first.status, second.as_str()), (200, expected));
+    assert_eq!(server.seen().len(), runs);
+}
+
 cases! {
+    queued_call_is_recalled: run(recalled_while(true, "recalled", 1));
+    running_call_is_not_recalled: run(recalled_while(false, "200 OK", 2));
     running_call_outlives_the_stop: run(running_call_is_finished());
     long_upload_outlives_the_stop: run(long_upload_is_finished());
     draining_gate_is_passed_over: run(draining_gate_sends_calls_elsewhere());
--- a/src/peer/answer.rs
+++ b/src/peer/answer.rs
@@ -12,7 +12,6 @@
 
 use super::inbound::{Ended, Inbound};
 use super::links::{Active, Down};
-use super::outbound::Outbound;
 use super::upload::Uploading;
 use super::wire::{self, Raw, Trailers, kind};
 
@@ -20,8 +19,6 @@
 pub(super) enum Uplink {
     /// Nothing more goes up.
     Closed,
-    /// The end of the stream is still to be sent.
-    Open(Outbound),
     /// The request body is still being sent.
     Sending(Uploading),
 }
@@ -81,15 +78,6 @@
             }
         }
     }
-
-    fn close(&mut self) {
-        self.inbound = None;
-        let uplink = std::mem::replace(&mut self.uplink, Uplink::Closed);
-        if let Uplink::Open(mut outbound) = uplink {
-            // The answer is whole, whatever became of the link since.
-            let _ = outbound.send_now(Bytes::new(), true);
-        }
-    }
 }
 
 enum Taken {
@@ -121,7 +109,8 @@
                 Taken::Nothing => {}
                 Taken::Frame(frame) => return Poll::Ready(Some(Ok(frame))),
                 Taken::End => {
-                    self.close();
+                    self.inbound = None;
+                    self.uplink = Uplink::Closed;
                     return Poll::Ready(None);
                 }
                 Taken::Cut(cut) => {
--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -9,7 +9,7 @@
 use futures::FutureExt;
 use tokio::time::{Instant, sleep_until};
 
-use crate::call::{Cut, Event, Loss, NotRun, Observer, Reason, Unknown};
+use crate::call::{Cut, Event, Loss, NotRun, Reason, Unknown};
 use crate::gate::Load;
 use crate::plan::Version;
 
@@ -18,7 +18,7 @@
 use super::links::{Down, Links, Stream};
 use super::outbound::Outbound;
 use super::upload::{Control, Upload, Uploading};
-use super::wire::{self, Encoder, Failed, Head, Open, Raw, Refused, kind};
+use super::wire::{self, Encoder, Failed, Head, Open, Raw, Recall, Refused, kind};
 
 /// Time after the deadline in which the gate's own word may still come.
 const GATE_GRACE: Duration = Duration::from_millis(50);
@@ -92,24 +92,36 @@
             return not_run(Reason::Malformed, upload);
         }
         upload.start(&mut frames);
-        let end = upload.is_whole() && terms.recall_after.is_none();
+        let end = upload.is_whole();
         let Ok(stream) = self.open(address, frames.take(), end).await else {
             return not_run(Reason::Unreachable, upload);
         };
         let Stream { up, down } = stream;
-        let uplink = Link::new(upload, up, end);
-        let observer = Arc::clone(self.observer());
+        let uplink = Link::new(upload, up);
         Exchange {
             call: open.call,
-            observer,
+            links: self,
+            address,
             down,
             uplink,
+            recalling: None,
         }
         .run(terms)
         .await
     }
 }
 
+impl Links {
+    /// Asks a gate to withdraw a call if it is still queued. The gate's word on
+    /// the call itself tells what came of it.
+    async fn recall(&self, address: SocketAddr, call: u64) -> Option<Stream> {
+        let mut frames = Encoder::default();
+        frames.message(kind::RECALL, &Recall { call }).ok()?;
+        // A broken link shows when the answer is awaited.
+        self.open(address, frames.take(), true).await.ok()
+    }
+}
+
 fn not_run(reason: Reason, upload: Upload) -> Reply {
     Reply::NotRun {
         refused: NotRun::told_by_gate(reason),
@@ -121,11 +133,7 @@
 
 /// The way up, while the call is not answered.
 enum Link {
-    Whole {
-        upload: Upload,
-        outbound: Outbound,
-        ended: bool,
-    },
+    Whole(Upload),
     Sending {
         uploading: Uploading,
         control: Arc<Control>,
@@ -133,13 +141,9 @@
 }
 
 impl Link {
-    fn new(upload: Upload, outbound: Outbound, ended: bool) -> Self {
+    fn new(upload: Upload, outbound: Outbound) -> Self {
         if upload.is_whole() {
-            return Self::Whole {
-                upload,
-                outbound,
-                ended,
-            };
+            return Self::Whole(upload);
         }
         let control = Arc::new(Control::default());
         Self::Sending {
@@ -148,23 +152,6 @@
         }
     }
 
-    fn recall(&mut self) {
-        match self {
-            Self::Whole {
-                outbound,
-                ended: false,
-                ..
-            } => {
-                let mut frames = Encoder::default();
-                frames.bare(kind::RECALL);
-                // A broken link shows when the answer is awaited.
-                let _ = outbound.flush(&mut frames, false);
-            }
-            Self::Whole { .. } => {}
-            Self::Sending { control, .. } => control.recall.notify_one(),
-        }
-    }
-
     fn admitted(&self) {
         if let Self::Sending { control, .. } = self {
             control.admitted.notify_one();
@@ -173,25 +160,21 @@
 
     /// Ends only when the upload fails.
     async fn failed(&mut self) -> Cut {
-        match self {
-            Self::Whole { .. } => std::future::pending().await,
-            Self::Sending { uploading, .. } => {
-                let uploaded = uploading.await;
-                let cut = uploaded.result.err().unwrap_or(Cut::Link);
-                *self = Self::Whole {
-                    upload: uploaded.upload,
-                    outbound: uploaded.outbound,
-                    ended: true,
-                };
-                cut
-            }
+        let Self::Sending { uploading, .. } = self else {
+            return std::future::pending().await;
+        };
+        let uploaded = uploading.await;
+        *self = Self::Whole(uploaded.upload);
+        match uploaded.result {
+            Ok(()) => std::future::pending().await,
+            Err(cut) => cut,
         }
     }
 
     /// Gives back what was to be sent.
     async fn reclaim(self) -> Upload {
         match self {
-            Self::Whole { upload, .. } => upload,
+            Self::Whole(upload) => upload,
             Self::Sending { uploading, control } => {
                 control.stop.notify_one();
                 uploading.await.upload
@@ -201,18 +184,20 @@
 
     fn into_uplink(self) -> Uplink {
         match self {
-            Self::Whole { ended: true, .. } => Uplink::Closed,
-            Self::Whole { outbound, .. } => Uplink::Open(outbound),
+            Self::Whole(..) => Uplink::Closed,
             Self::Sending { uploading, .. } => Uplink::Sending(uploading),
         }
     }
 }
 
-struct Exchange {
+struct Exchange<'a> {
     call: u64,
-    observer: Arc<dyn Observer>,
+    links: &'a Links,
+    address: SocketAddr,
     down: Down,
     uplink: Link,
+    /// Held, as dropping it would take the recall back.
+    recalling: Option<Stream>,
 }
 
 enum Verdict {
@@ -222,12 +207,16 @@
     Lost(Loss, Option<Load>),
 }
 
-impl Exchange {
+impl Exchange<'_> {
     async fn run(mut self, terms: Terms) -> Reply {
         match self.verdict(terms).await {
             Verdict::Head(head) => Reply::Answered {
                 head,
-                body: Answer::new(self.down, self.uplink.into_uplink(), self.observer),
+                body: Answer::new(
+                    self.down,
+                    self.uplink.into_uplink(),
+                    Arc::clone(self.links.observer()),
+                ),
             },
             Verdict::Refused(refused) => Reply::NotRun {
                 refused: NotRun::told_by_gate(refused.reason.unwrap_or(Reason::Overloaded)),
@@ -265,7 +254,7 @@
                 }
                 () = &mut recall, if recallable => {
                     recallable = false;
-                    self.uplink.recall();
+                    self.recalling = self.links.recall(self.address, self.call).await;
                 }
                 () = &mut deadline => return Verdict::Lost(Loss::Deadline, None),
             }
@@ -278,7 +267,7 @@
             Ok(Raw::Body(_)) => self.dropped(),
             Err(Ended::Unprocessed) => Some(Verdict::Unprocessed),
             Err(Ended::Malformed) => {
-                self.observer.event(Event::LinkRejected);
+                self.links.observer().event(Event::LinkRejected);
                 Some(Verdict::Lost(Loss::Link, None))
             }
             Err(Ended::Closed | Ended::Broken) => Some(Verdict::Lost(Loss::Link, None)),
@@ -305,14 +294,14 @@
             Ok((call, verdict)) if call == self.call => Some(verdict),
             Ok(_) => self.dropped(),
             Err(_) => {
-                self.observer.event(Event::LinkRejected);
+                self.links.observer().event(Event::LinkRejected);
                 Some(Verdict::Lost(Loss::Link, None))
             }
         }
     }
 
     fn dropped(&self) -> Option<Verdict> {
-        self.observer.event(Event::FrameDropped);
+        self.links.observer().event(Event::FrameDropped);
         None
     }
 }
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -138,46 +138,67 @@
 
     async fn connect(&self, peer: &Arc<Peer>) -> Result<Link, LinkDown> {
         let opened = timeout(self.settings.connect_timeout, self.handshake(peer.address)).await;
-        let (sender, connection) = match opened {
+        let opened = match opened {
             Ok(Ok(opened)) => opened,
             Ok(Err(error)) => return Err(peer.down(&error)),
             Err(elapsed) => return Err(peer.down(&elapsed)),
         };
         self.observer.event(Event::LinkOpened);
-        let link = peer.keep(sender);
+        let link = peer.keep(opened.sender);
         let settings = self.settings;
         let peer = Arc::clone(peer);
         let number = link.number;
         tokio::spawn(async move {
-            drive(connection, settings, &peer).await;
+            drive(opened.connection, opened.pings, settings, &peer).await;
             peer.forget(number);
         });
         Ok(link)
     }
 
-    async fn handshake(
-        &self,
-        address: SocketAddr,
-    ) -> io::Result<(SendRequest<Bytes>, Connection<TcpStream, Bytes>)> {
+    /// Ends when the peer has answered a ping: the system alone accepts
+    /// connections too, also those that a leaving peer never looks at.
+    async fn handshake(&self, address: SocketAddr) -> io::Result<Opened> {
         let socket = TcpStream::connect(address).await?;
         socket.set_nodelay(true)?;
-        h2::client::Builder::new()
+        let (sender, mut connection) = h2::client::Builder::new()
             .initial_window_size(self.settings.stream_window_bytes)
             .initial_connection_window_size(self.settings.link_window_bytes)
             .max_frame_size(self.settings.max_frame_bytes)
             .enable_push(false)
             .handshake(socket)
             .await
-            .map_err(io::Error::other)
+            .map_err(io::Error::other)?;
+        let Some(mut pings) = connection.ping_pong() else {
+            return Err(io::ErrorKind::NotConnected.into());
+        };
+        tokio::select! {
+            answered = pings.ping(Ping::opaque()) => {
+                answered.map_err(io::Error::other)?;
+            }
+            _ = &mut connection => return Err(io::ErrorKind::ConnectionReset.into()),
+        }
+        Ok(Opened {
+            sender,
+            connection,
+            pings,
+        })
     }
 }
 
+/// A link that a peer has accepted.
+struct Opened {
+    sender: SendRequest<Bytes>,
+    connection: Connection<TcpStream, Bytes>,
+    pings: PingPong,
+}
+
 /// Runs a link until it closes or stops answering pings.
-async fn drive(mut connection: Connection<TcpStream, Bytes>, settings: Settings, peer: &Peer) {
-    let Some(pings) = connection.ping_pong() else {
-        let _ = connection.await;
-        return;
-    };
+async fn drive(
+    connection: Connection<TcpStream, Bytes>,
+    pings: PingPong,
+    settings: Settings,
+    peer: &Peer,
+) {
     tokio::select! {
         _ = connection => {}
         () = silence(pings, settings, peer) => {}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -31,6 +31,7 @@
 
 mod answer;
 mod ask;
+mod calls;
 mod exchange;
 mod inbound;
 mod links;
--- a/src/peer/receiver.rs
+++ b/src/peer/receiver.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Empty, Full};
 use tokio::sync::mpsc;
 
-use crate::backend::{Executor, Progress};
+use crate::backend::Executor;
 use crate::call::{Body, Cut, Event};
 
 use super::inbound::{Ended, Inbound};
@@ -69,7 +69,7 @@
     }
 
     /// Reads on until the entry gives up the stream.
-    pub(super) async fn pump(&mut self, progress: &Progress) -> Result<(), Broken> {
+    pub(super) async fn pump(&mut self) -> Result<(), Broken> {
         loop {
             let room = !self.closed && self.ahead_bytes < AHEAD_BYTES;
             tokio::select! {
@@ -78,18 +78,17 @@
                     Some(permit) => self.pass(permit),
                     None => self.discard(),
                 },
-                received = self.inbound.next(), if room => self.take(received, progress)?,
+                received = self.inbound.next(), if room => self.take(received)?,
             }
         }
     }
 
     fn gather(&mut self) {
-        let progress = Progress::default();
         while !self.whole && self.ahead_bytes < AHEAD_BYTES {
             let Some(received) = self.inbound.next().now_or_never() else {
                 break;
             };
-            if self.take(received, &progress).is_err() {
+            if self.take(received).is_err() {
                 break;
             }
         }
@@ -149,7 +148,7 @@
         self.ahead_bytes = 0;
     }
 
-    fn take(&mut self, received: Result<Raw, Ended>, progress: &Progress) -> Result<(), Broken> {
+    fn take(&mut self, received: Result<Raw, Ended>) -> Result<(), Broken> {
         match received {
             Ok(Raw::Body(part)) if !self.whole => self.keep(Frame::data(part)),
             Ok(Raw::Message(kind::TRAILERS, payload)) if !self.whole => {
@@ -161,7 +160,6 @@
                 self.whole = true;
                 self.ahead.push_back(Step::End);
             }
-            Ok(Raw::Message(kind::RECALL, _)) => progress.recall.notify_one(),
             Ok(_) => self.executor.observer.event(Event::FrameDropped),
             Err(Ended::Closed) if self.whole => self.closed = true,
             Err(Ended::Malformed) => return Err(self.rejected()),
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -15,6 +15,7 @@
 use crate::backend::Executor;
 use crate::call::Event;
 
+use super::calls::Calls;
 use super::{Settings, stream};
 
 /// Pause after the system refuses to accept, for example for lack of descriptors.
@@ -75,6 +76,7 @@
         executor.observer.event(Event::LinkRejected);
         return;
     };
+    let known = Arc::new(Calls::default());
     let calls = TaskTracker::new();
     let mut closing = false;
     loop {
@@ -89,7 +91,8 @@
         match accepted {
             Some(Ok((request, respond))) => {
                 let executor = Arc::clone(&executor);
-                calls.spawn(stream::serve(executor, settings, request, respond));
+                let known = Arc::clone(&known);
+                calls.spawn(stream::serve(executor, known, settings, request, respond));
             }
             Some(Err(error)) if error.is_io() => break,
             Some(Err(_)) => {
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -12,16 +12,17 @@
 use std::sync::Arc;
 use tokio::time::timeout;
 
-use crate::backend::{Executor, Job, Outcome, Progress};
+use crate::backend::{Executor, Job, Outcome};
 use crate::call::claim::{Digest, Question};
 use crate::call::{Body, Context, Cut, Event, Loss, MAX_HOPS, Reason, Trace};
 
 use super::Settings;
+use super::calls::Calls;
 use super::inbound::Inbound;
 use super::outbound::{Broken, Outbound};
 use super::receiver::Receiver;
 use super::wire::{
-    self, Claim, Claimed, Encoder, Failed, Head, Open, Raw, Refused, Trailers, kind,
+    self, Claim, Claimed, Encoder, Failed, Head, Open, Raw, Recall, Refused, Trailers, kind,
 };
 
 /// Room for the head of an answer and a short body.
@@ -32,6 +33,7 @@
 /// Serves one call.
 pub(super) async fn serve(
     executor: Arc<Executor>,
+    calls: Arc<Calls>,
     settings: Settings,
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
@@ -41,6 +43,12 @@
     let open = match opened {
         Ok(Some(First::Open(open))) => open,
         Ok(Some(First::Claim(claim))) => return answer_claim(&executor, &claim, respond),
+        Ok(Some(First::Recall(recall))) => {
+            calls.recall(recall.call);
+            // The entry waits for the word on the call itself.
+            let _ = respond.send_response(Response::new(()), true);
+            return;
+        }
         Ok(None) | Err(_) => {
             executor.observer.event(Event::LinkRejected);
             respond.send_reset(h2::Reason::PROTOCOL_ERROR);
@@ -54,6 +62,7 @@
     let mut reply = Reply {
         call,
         executor: &executor,
+        calls: &calls,
         outbound: Outbound::new(stream),
     };
     let mut upload = Receiver::new(open.bodiless, inbound, &executor);
@@ -65,6 +74,7 @@
 enum First {
     Open(Box<Open>),
     Claim(Claim),
+    Recall(Recall),
 }
 
 async fn first(inbound: &mut Inbound) -> Option<First> {
@@ -74,6 +84,7 @@
     match kind {
         kind::OPEN => wire::read(kind, &payload).ok().map(First::Open),
         kind::CLAIM => wire::read(kind, &payload).ok().map(First::Claim),
+        kind::RECALL => wire::read(kind, &payload).ok().map(First::Recall),
         _ => None,
     }
 }
@@ -102,24 +113,26 @@
 struct Reply<'a> {
     call: u64,
     executor: &'a Executor,
+    calls: &'a Calls,
     outbound: Outbound,
 }
 
 impl Reply<'_> {
     async fn run(&mut self, open: Open, upload: &mut Receiver<'_>) -> Result<(), Broken> {
-        let progress = Progress::default();
+        let running = self.calls.enter(self.call);
+        let progress = &running.progress;
         let body = upload.body();
         let executor = self.executor;
         let outcome = match job(open, executor) {
             Ok(job) => {
-                let executing = executor.execute(job, &progress, move || body);
+                let executing = executor.execute(job, progress, move || body);
                 let mut executing = pin!(executing);
                 loop {
                     tokio::select! {
                         biased;
                         outcome = &mut executing => break outcome,
                         () = progress.admitted.notified() => self.admitted(upload)?,
-                        received = upload.pump(&progress) => received?,
+                        received = upload.pump() => received?,
                         () = self.outbound.reset() => return Err(Broken),
                     }
                 }
@@ -127,7 +140,7 @@
             Err(reason) => return self.refused(reason),
         };
         match outcome {
-            Outcome::Answered(response) => self.answer(response, upload, &progress).await,
+            Outcome::Answered(response) => self.answer(response, upload).await,
             Outcome::NotRun(refused) => self.refused(refused.reason()),
             Outcome::Unknown(unknown) => self.failed(unknown.loss()),
         }
@@ -172,7 +185,6 @@
         &mut self,
         response: Response<Body>,
         upload: &mut Receiver<'_>,
-        progress: &Progress,
     ) -> Result<(), Broken> {
         let (parts, body) = response.into_parts();
         let head = Head {
@@ -190,7 +202,7 @@
             tokio::select! {
                 biased;
                 sent = &mut sending => return sent,
-                received = upload.pump(progress) => received?,
+                received = upload.pump() => received?,
             }
         }
     }
--- a/src/peer/tests/mod.rs
+++ b/src/peer/tests/mod.rs
@@ -107,6 +107,17 @@
         let settings = [0, 0, 0, 4, 0, 0, 0, 0, 0];
         socket.write_all(&settings).await.expect("room");
         let mut received = Vec::new();
+        let mut pong = loop {
+            socket.read_buf(&mut received).await.expect("bytes");
+            let ping = received
+                .windows(5)
+                .position(|bytes| bytes == [0, 0, 8, 6, 0]);
+            if let Some(ping) = ping.and_then(|at| received.get(at..at + 17)) {
+                break ping.to_vec();
+            }
+        };
+        pong[4] = 1;
+        socket.write_all(&pong).await.expect("room");
         while !received.windows(7).any(|bytes| bytes == b"/orders") {
             let read = socket.read_buf(&mut received).await.expect("bytes");
             assert_ne!(read, 0, "the entry left");
@@ -191,7 +202,20 @@
     frames.bare(kind::END);
 }
 
+/// The system accepts for a listener that nobody serves any more.
+async fn listener_without_server() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let closing = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        drop(listener);
+    });
+    assert_eq!(exchange_with(address).await.result, "not-run unreachable");
+    closing.await.expect("no panic");
+}
+
 cases! {
+    link_that_nobody_serves_is_not_run: run(listener_without_server());
     link_that_breaks_before_any_word_is_unknown:
         run(ends_as(Act::Break(Bytes::new()), "unknown link-lost"));
     link_that_breaks_after_admission_is_unknown:
--- a/src/peer/upload.rs
+++ b/src/peer/upload.rs
@@ -50,8 +50,6 @@
 pub(super) struct Control {
     /// The gate let the call through.
     pub(super) admitted: Notify,
-    /// The call is to be withdrawn if it is still queued.
-    pub(super) recall: Notify,
     /// The attempt is over.
     pub(super) stop: Notify,
 }
@@ -59,7 +57,6 @@
 /// How an upload ended.
 pub(super) struct Uploaded {
     pub(super) upload: Upload,
-    pub(super) outbound: Outbound,
     pub(super) result: Result<(), Cut>,
 }
 
@@ -132,7 +129,7 @@
         }
     }
 
-    /// Sends the rest as the gate allows, and recalls when told to.
+    /// Sends the rest as the gate allows.
     pub(super) async fn send(mut self, mut outbound: Outbound, control: Arc<Control>) -> Uploaded {
         let result = tokio::select! {
             biased;
@@ -141,7 +138,6 @@
         };
         Uploaded {
             upload: self,
-            outbound,
             result,
         }
     }
@@ -152,7 +148,6 @@
             let may_read = admitted || !(self.held_back || self.kept_bytes >= REPLAY_BYTES);
             tokio::select! {
                 biased;
-                () = control.recall.notified() => recall(outbound)?,
                 () = control.admitted.notified(), if !admitted => {
                     admitted = true;
                     self.held_back = false;
@@ -168,15 +163,12 @@
                         self.source = None;
                         let mut frames = Encoder::default();
                         self.finish(&mut frames);
-                        outbound.flush(&mut frames, false).map_err(|_| Cut::Link)?;
+                        outbound.flush(&mut frames, true).map_err(|_| Cut::Link)?;
                     }
                 },
             }
         }
-        loop {
-            control.recall.notified().await;
-            recall(outbound)?;
-        }
+        Ok(())
     }
 
     async fn pass(
@@ -240,12 +232,6 @@
     }
 }
 
-fn recall(outbound: &mut Outbound) -> Result<(), Cut> {
-    let mut frames = Encoder::default();
-    frames.bare(kind::RECALL);
-    outbound.flush(&mut frames, false).map_err(|_| Cut::Link)
-}
-
 async fn read(source: &mut Option<Body>) -> Option<Result<Frame<Bytes>, Cut>> {
     match source {
         Some(source) => source.frame().await,
--- a/src/peer/wire/message.rs
+++ b/src/peer/wire/message.rs
@@ -41,6 +41,13 @@
     pub bodiless: bool,
 }
 
+/// Withdraws a call that is still queued.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Recall {
+    /// Call to withdraw.
+    pub call: u64,
+}
+
 /// Head of an answer.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Head {
@@ -161,5 +168,6 @@
 counted!(Refused, 4: call, reason, load, plan);
 counted!(Failed, 3: call, loss, load);
 counted!(Trailers, 1: headers);
+counted!(Recall, 1: call);
 counted!(Claim, 6: call, digest_high, digest_low, regions, intent, keep);
 counted!(Claimed, 2: call, verdict);
--- a/src/peer/wire/mod.rs
+++ b/src/peer/wire/mod.rs
@@ -16,7 +16,7 @@
 
 pub use decoder::{Decoder, Malformed, Raw, read};
 pub use encoder::Encoder;
-pub use message::{Claim, Claimed, Failed, Head, Open, Refused, Trailers};
+pub use message::{Claim, Claimed, Failed, Head, Open, Recall, Refused, Trailers};
 
 /// Version of the frames that this node sends.
 pub const VERSION: u8 = 1;
@@ -40,7 +40,8 @@
     pub const TRAILERS: u8 = 3;
     /// Both ways: request or answer is whole.
     pub const END: u8 = 4;
-    /// Up: withdraw the call if it is still queued.
+    /// Up, on a stream of its own: withdraw a call of this link if it is still
+    /// queued. Message [`Recall`](super::Recall).
     pub const RECALL: u8 = 5;
     /// Down: the gate let the call through.
     pub const ADMITTED: u8 = 6;
