--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -6,7 +6,7 @@
 
 use common::{MORAVA_A, MORAVA_B, Setup, World, assert_held, pause};
 use monsooncove::bench::promises::{Ledger, Promise};
-use monsooncove::standin::caller::Kind;
+use monsooncove::standin::caller::{Books, Ending, Kind};
 
 const UPLOAD_BYTES: usize = 3_000_000;
 
@@ -36,9 +36,19 @@
     for books in [calls.await.unwrap(), uploads.await.unwrap()] {
         ledger.check_stop(&books, Duration::ZERO, origin.elapsed());
         assert!(books.row(|_| true).answered > 0);
+        print_unanswered(&books);
     }
     assert_held(&ledger, Promise::Graceful);
     let checks = world.fleet.checks().await.unwrap();
     assert_eq!(checks.iter().map(|checks| checks.cut).sum::<u64>(), 0);
     assert_eq!(world.fleet.stop().await, Vec::<String>::new());
 }
+
+/// Shown when the test fails.
+fn print_unanswered(books: &Books) {
+    for entry in books.entries() {
+        if entry.ending != Ending::Answered {
+            println!("{entry:?}");
+        }
+    }
+}
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -29,7 +29,9 @@
         },
         ..Setup::default()
     };
-    World::start(setup).await
+    let world = World::start(setup).await;
+    world.wait_until_acquainted().await;
+    world
 }
 
 fn caller_address(world: &World, index: usize) -> SocketAddr {
