Send again what a closing HTTP/2 connection did not take

Cause: calls at a planned stop ended with a client error. With the whole chain printed, ten parallel runs of tests/graceful_stop.rs showed one such call: "http2 error: connection error received: not a result of an error", which is GOAWAY with NO_ERROR. RFC 9113, 6.8: streams above the last one named were not processed and may be sent again; hyper's pooled client does not. Ruled out: a call cut by the node, since streams it has taken are not failed by that GOAWAY; a resend of anything else, which stays an unknown outcome. Change: the caller stand-in sends such a call again, at most three times.

--- a/src/standin/caller/client.rs
+++ b/src/standin/caller/client.rs
@@ -1,6 +1,7 @@
 //! Makes one call and judges what comes back.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -24,6 +25,9 @@
 /// chunks.
 const SIZED_BODY_BYTES: usize = 16 * 1024;
 
+/// Times a request is sent again after a closing connection did not take it.
+const MAX_RESENDS: u32 = 3;
+
 type Body = UnsyncBoxBody<Bytes, Infallible>;
 
 /// Protocol towards the nodes.
@@ -80,32 +84,76 @@
 
     async fn call_in_turn(&self, targets: &[SocketAddr], kind: &Kind, id: &str) -> Ending {
         for target in targets {
-            let Some(request) = request(*target, kind, id) else {
+            if request(*target, kind, id).is_none() {
                 return Ending::Refused("malformed".into());
-            };
-            match self.http.request(request).await {
+            }
+            match self.send(*target, kind, id).await {
                 Ok(response) => return self.settle(response, kind, id).await,
                 Err(error) if error.is_connect() => {}
-                Err(error) => return Ending::Unknown(error.to_string()),
+                Err(error) => return Ending::Unknown(chain(&error)),
             }
         }
         Ending::Refused("not listening".into())
     }
 
+    /// Sends again what a closing connection did not take (RFC 9113, 6.8).
+    async fn send(
+        &self,
+        target: SocketAddr,
+        kind: &Kind,
+        id: &str,
+    ) -> Result<Response<Incoming>, legacy::Error> {
+        let mut left = MAX_RESENDS;
+        loop {
+            let request = request(target, kind, id).unwrap_or_default();
+            match self.http.request(request).await {
+                Err(error) if left > 0 && was_not_taken(&error) => left -= 1,
+                ended => return ended,
+            }
+        }
+    }
+
     /// Follows a refusal to a node in the home regions, once.
     async fn settle(&self, response: Response<Incoming>, kind: &Kind, id: &str) -> Ending {
         let elsewhere = not_run(&response).and_then(|_| serve_at(&response));
-        let Some(request) = elsewhere.and_then(|target| request(target, kind, id)) else {
+        let Some(target) = elsewhere else {
             return judge(response, kind, id).await;
         };
-        match self.http.request(request).await {
+        match self.send(target, kind, id).await {
             Ok(response) => judge(response, kind, id).await,
             Err(error) if error.is_connect() => Ending::Refused("not listening".into()),
-            Err(error) => Ending::Unknown(error.to_string()),
+            Err(error) => Ending::Unknown(chain(&error)),
         }
     }
 }
 
+/// Whether the other side closed the connection without taking the stream: it
+/// sent GOAWAY without an error, and fails only streams above the last it takes.
+fn was_not_taken(error: &legacy::Error) -> bool {
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<h2::Error>() {
+            return error.is_go_away()
+                && error.is_remote()
+                && error.reason() == Some(h2::Reason::NO_ERROR);
+        }
+        cause = error.source();
+    }
+    false
+}
+
+/// An error with all that caused it.
+fn chain(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
+
 fn request(target: SocketAddr, kind: &Kind, id: &str) -> Option<Request<Body>> {
     let mut builder = Request::builder()
         .method(&kind.method)
