--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -8,10 +8,10 @@
 use monsooncove::bench::promises::Promise;
 use monsooncove::standin::backend::{self, Control};
 
-fn long_cold_start() -> Setup {
+fn cold_start_of(cold_time: Duration) -> Setup {
     Setup {
         backend: backend::Settings {
-            cold_time: Duration::from_millis(1_500),
+            cold_time,
             service_time: Duration::from_millis(20),
             ..backend::Settings::default()
         },
@@ -21,7 +21,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn fresh_backend_servers_get_their_allowance_under_full_load() {
-    let world = World::start(long_cold_start()).await;
+    let outlasts_the_calls = cold_start_of(Duration::from_secs(10));
+    let world = World::start(outlasts_the_calls).await;
     let calls = world.call(world.kinds(&["calendar", "order-place"]), 200.0, 4);
     let books = calls.await.unwrap();
     let ledger = world.settle(&books).await;
@@ -31,7 +32,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn unannounced_cold_start_is_noticed_though_the_health_endpoint_misleads() {
-    let mut world = World::start(long_cold_start()).await;
+    let mut world = World::start(cold_start_of(Duration::from_millis(1_500))).await;
     let calls = world.call(world.kinds(&["calendar", "order-place"]), 200.0, 7);
     pause(3_000).await;
     let cold_again = Control {
