Take idempotency keys only once a node knows the others

Ruled out: waiting for the first listing of the store, since nodes that start together list it before any has announced itself; an unknown outcome, since a refusal before any claim is truly not run. Change: for twice the announcement spread, 4 s, a node refuses keyed calls as not run, reason starting. The test sends orders right after the start and again later, and needs runs in the second part; the wait for announcements that had slipped into its start is a step of its own now.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -7,7 +7,8 @@
 use crate::call::{Body, Unsent};
 
 /// The backend server takes no connection ({cause}); see whether it runs at --backend-server
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
 pub struct Unreachable {
     /// What the attempt saw.
     pub cause: String,
--- a/src/backend/watch.rs
+++ b/src/backend/watch.rs
@@ -40,7 +40,8 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Report {
     state: String,
     #[serde(default)]
--- a/src/bench/demo.rs
+++ b/src/bench/demo.rs
@@ -29,7 +29,8 @@
 pub const SHORTEST: Duration = Duration::from_secs(12);
 
 /// An example deployment.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Deployment {
     /// farm
     #[default]
@@ -94,6 +95,7 @@
     let monitor = Monitor::start();
     let version = operator.apply().await?;
     wait_until_in_force(&fleet, version).await?;
+    wait_until_announced(&fleet).await?;
     watch_all(&fleet, &monitor, version);
 
     let calls = caller::Settings {
@@ -122,8 +124,7 @@
     Ok(Run { books, ledger })
 }
 
-/// Waits until every node has `version` in force and knows every other, and
-/// the store has the announcement of each.
+/// Waits until every node has `version` in force.
 ///
 /// # Errors
 ///
@@ -132,6 +133,16 @@
     let nodes = fleet.upstreams().iter();
     let waiting = nodes.map(|upstream| wait_until_node_has(upstream.ready.control, version));
     futures::future::try_join_all(waiting).await?;
+    Ok(())
+}
+
+/// Waits until every node knows every other, and the store has the
+/// announcement of each.
+///
+/// # Errors
+///
+/// Fails when that takes too long.
+pub async fn wait_until_announced(fleet: &Fleet) -> io::Result<()> {
     let announced = async {
         while !all_are_announced(fleet).await {
             tokio::time::sleep(START_POLL_INTERVAL).await;
--- a/src/bench/overhead.rs
+++ b/src/bench/overhead.rs
@@ -10,7 +10,7 @@
 use http::Method;
 use serde::Serialize;
 
-use super::demo::{Deployment, wait_until_in_force};
+use super::demo::{Deployment, wait_until_announced, wait_until_in_force};
 use super::fleet::{self, Fleet, Programs, Spec};
 use super::operator::Operator;
 use super::promises::Ledger;
@@ -40,7 +40,8 @@
 }
 
 /// The figures of one run.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Overhead {
     /// Figures of the calls through two nodes.
     #[serde(flatten)]
@@ -79,6 +80,7 @@
     .await?;
     let version = Operator::new(fleet.store(), sheet).apply().await?;
     wait_until_in_force(&fleet, version).await?;
+    wait_until_announced(&fleet).await?;
     let calls = caller::Settings {
         kinds: vec![kind()],
         rate: settings.rate / 2.0,
--- a/src/bench/policy/message.rs
+++ b/src/bench/policy/message.rs
@@ -9,7 +9,8 @@
 use crate::gate::Load;
 
 /// From an entry to a gate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) enum Request {
     /// Run a call.
     Call(Call),
@@ -26,7 +27,8 @@
 }
 
 /// One call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct Call {
     pub(super) id: u64,
     pub(super) worth: u32,
@@ -37,7 +39,8 @@
 }
 
 /// From a gate to an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct Answer {
     pub(super) id: u64,
     pub(super) result: Outcome,
@@ -45,7 +48,8 @@
 }
 
 /// What became of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) enum Outcome {
     /// The gate let it through; the result follows.
     Admitted,
--- a/src/bench/policy/report.rs
+++ b/src/bench/policy/report.rs
@@ -19,7 +19,8 @@
 }
 
 /// One line of the table.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Row {
     /// Faults and load.
     pub scenario: String,
@@ -60,7 +61,8 @@
 }
 
 /// The whole report for machines.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Summary {
     /// Whose zone names were used.
     pub deployment: String,
--- a/src/bench/process.rs
+++ b/src/bench/process.rs
@@ -19,7 +19,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Addresses a process reports once it is ready.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub struct Ready {
     /// Of a stand-in.
--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -9,7 +9,8 @@
 use crate::standin::caller::{Books, Ending, Row};
 
 /// The figures of one run.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Figures {
     /// Calls made.
     pub calls: u64,
--- a/src/bench/slopes/control/mod.rs
+++ b/src/bench/slopes/control/mod.rs
@@ -41,7 +41,8 @@
 }
 
 /// Figures of one fleet.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Sample {
     /// Nodes.
     pub nodes: u32,
--- a/src/bench/slopes/control/phase.rs
+++ b/src/bench/slopes/control/phase.rs
@@ -23,7 +23,8 @@
 const POLL: Duration = Duration::from_millis(500);
 
 /// Costs while nothing happens.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Steady {
     /// Calls of the store.
     pub store: Rates,
@@ -34,7 +35,8 @@
 }
 
 /// Calls of the store a second.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct Rates {
     /// Reads, lists and watches.
     pub reads_per_s: f64,
@@ -47,7 +49,8 @@
 }
 
 /// Costs of accepted sheets.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Change {
     /// From the operator's call to the last node in force.
     pub spread: Spread,
@@ -60,7 +63,8 @@
 }
 
 /// How long sheets took to the last node, over all of them.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct Spread {
     /// Median.
     pub p50_ms: f64,
@@ -69,7 +73,8 @@
 }
 
 /// Sheets accepted as a relay of each zone is killed.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Kill {
     /// From the operator's call to the last survivor in force.
     pub spread: Spread,
@@ -78,7 +83,8 @@
 }
 
 /// A zone taken out, its nodes stopped and started anew.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Evacuation {
     /// Nodes of the zone.
     pub nodes: usize,
--- a/src/bench/slopes/control/reading.rs
+++ b/src/bench/slopes/control/reading.rs
@@ -36,7 +36,8 @@
 }
 
 /// Cost of control to one role, a second.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct Usage {
     /// Nodes in that role.
     pub nodes: usize,
--- a/src/bench/slopes/control/report.rs
+++ b/src/bench/slopes/control/report.rs
@@ -16,7 +16,8 @@
 const TARGET_CHANGES_PER_S: f64 = 3_500.0 / 86_400.0;
 
 /// Samples with the lines through them.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Report {
     /// Figures by number of nodes.
     pub samples: Vec<Sample>,
@@ -25,7 +26,8 @@
 }
 
 /// One figure over the size of the fleet.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Slope {
     /// What was measured.
     pub name: String,
--- a/src/bench/slopes/data/mod.rs
+++ b/src/bench/slopes/data/mod.rs
@@ -43,7 +43,8 @@
 }
 
 /// One figure over five sizes.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Series {
     /// What was measured.
     pub name: &'static str,
@@ -81,7 +82,8 @@
 }
 
 /// All series of one run.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Report {
     /// In the order they were measured.
     pub series: Vec<Series>,
--- a/src/bench/slopes/data/pair.rs
+++ b/src/bench/slopes/data/pair.rs
@@ -9,7 +9,7 @@
 
 use super::super::Usage;
 use super::Settings;
-use crate::bench::demo::wait_until_in_force;
+use crate::bench::demo::{wait_until_announced, wait_until_in_force};
 use crate::bench::fleet::{self, Fleet, Place, Spec};
 use crate::bench::operator::Operator;
 use crate::bench::process::Process;
@@ -57,6 +57,7 @@
             .map_err(|faults| io::Error::other(format!("{faults:?}")))?;
         let version = Operator::new(fleet.store(), sheet).apply().await?;
         wait_until_in_force(&fleet, version).await?;
+        wait_until_announced(&fleet).await?;
         Ok(Self { fleet })
     }
 
--- a/src/bench/slopes/fit.rs
+++ b/src/bench/slopes/fit.rs
@@ -3,7 +3,8 @@
 use serde::Serialize;
 
 /// One measurement.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Point {
     /// Size, such as a number of nodes.
     pub size: f64,
@@ -12,7 +13,8 @@
 }
 
 /// Least-squares line through points.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Fit {
     /// Value at size zero.
     pub base: f64,
--- a/src/bin/monsooncove-sheet/group.rs
+++ b/src/bin/monsooncove-sheet/group.rs
@@ -8,7 +8,8 @@
 use crate::fleet::Node;
 
 /// What a group of nodes has in force and in hand.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Group {
     /// Announced nodes.
     pub nodes: usize,
--- a/src/bin/monsooncove-sheet/status.rs
+++ b/src/bin/monsooncove-sheet/status.rs
@@ -13,7 +13,8 @@
 use crate::wait;
 
 /// What `--json` prints.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Report {
     version: Version,
     /// Newest version of a node, when the source does not know it.
@@ -24,7 +25,8 @@
 }
 
 /// One zone.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Zone {
     name: String,
     region: String,
@@ -34,14 +36,16 @@
 }
 
 /// One service.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Service {
     name: String,
     group: Group,
 }
 
 /// One node.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Line {
     instance: String,
     service: String,
--- a/src/bin/monsooncove-sheet/wait.rs
+++ b/src/bin/monsooncove-sheet/wait.rs
@@ -22,7 +22,8 @@
 const ANNOUNCED_REFRESH: Duration = Duration::from_secs(1);
 
 /// How far a version has spread.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Spread {
     /// Whether every announced node has it in force.
     pub complete: bool,
@@ -37,7 +38,8 @@
 }
 
 /// How far a version has spread in one zone.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub struct Zone {
     /// Name of the zone.
     pub name: String,
--- a/src/call/body.rs
+++ b/src/call/body.rs
@@ -8,7 +8,8 @@
 pub type Body = UnsyncBoxBody<Bytes, Cut>;
 
 /// Why a body ended before it was whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Cut {
     /// the caller stopped sending; send the whole request again
     Caller,
--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Reason of a truthful "not run".
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[repr(u8)]
 pub enum Reason {
     /// The gate's queue is full of calls of equal or higher worth.
@@ -42,11 +43,13 @@
     NoPlan = 16,
     /// The same idempotency key is already running or has run.
     Duplicate = 17,
+    /// The node has just started and does not know who holds idempotency keys.
+    Starting = 18,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Overloaded,
         Self::Deadline,
         Self::ZoneOut,
@@ -64,6 +67,7 @@
         Self::Malformed,
         Self::NoPlan,
         Self::Duplicate,
+        Self::Starting,
     ];
 
     /// The reason with this number on the wire.
@@ -115,6 +119,7 @@
             Self::Malformed => "malformed",
             Self::NoPlan => "no-plan",
             Self::Duplicate => "duplicate",
+            Self::Starting => "starting",
         }
     }
 }
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -8,6 +8,7 @@
 
 use crate::call::claim::{Digest, HOLDERS, Intent, Question, RETENTION, Verdict, rank};
 use crate::call::{Loss, Reason};
+use crate::clock::Time;
 use crate::headers;
 use crate::membership::Instance;
 
@@ -64,6 +65,10 @@
         routable: &Routable,
         key: &[u8],
     ) -> Result<Self, Obstacle> {
+        let parts = &entry.parts;
+        if parts.clock.now() < Time::ZERO + parts.settings.keys_after {
+            return Err(Obstacle::Refused(Reason::Starting));
+        }
         let tenant = routable.context.tenant.as_deref().unwrap_or_default();
         let digest = Digest::of(routable.service_name(), tenant, key);
         let regions = routable.context.regions.clone().unwrap_or_default();
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -13,7 +13,8 @@
 const UNKNOWN: &str = "unknown";
 const RETRY_AFTER_S: u32 = 1;
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Explanation {
     outcome: &'static str,
     reason: &'static str,
@@ -95,7 +96,8 @@
         | Reason::Shed
         | Reason::Recalled
         | Reason::NoBackendServer
-        | Reason::NoPlan => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::NoPlan
+        | Reason::Starting => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -123,6 +125,7 @@
         Reason::UnknownTenant => "name a tenant of the plan in Monsooncove-Tenant",
         Reason::TooManyHops => "the services call each other in a loop; end it",
         Reason::Malformed => "the request or a Monsooncove header is malformed; see docs/CALLS.md",
+        Reason::Starting => "the node has just started; send it through another, or again later",
         Reason::Duplicate => "a call with this Idempotency-Key runs or has run; read its result",
     }
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -22,6 +22,9 @@
     pub connection_window_bytes: u32,
     /// Backend servers that one call may be sent to.
     pub max_attempts: u32,
+    /// Time since the node's start before it takes calls with idempotency keys.
+    /// Until nodes know each other, they would claim a key at different holders.
+    pub keys_after: Duration,
 }
 
 impl Default for Settings {
@@ -35,6 +38,7 @@
             stream_window_bytes: 256 * 1024,
             connection_window_bytes: 4 * 1024 * 1024,
             max_attempts: 4,
+            keys_after: Duration::ZERO,
         }
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -8,7 +8,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// What went wrong, and what to do about it.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub enum Error {
     /// cannot listen on {address}: {source}; choose a free address
     Listen {
--- a/src/gate/load.rs
+++ b/src/gate/load.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Load of one backend server at the moment the report was made.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Calls running.
     pub in_hand: u32,
--- a/src/membership/control.rs
+++ b/src/membership/control.rs
@@ -24,7 +24,8 @@
 }
 
 /// What one node has in force and in hand.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Status {
     /// Name of the instance.
     pub instance: String,
@@ -55,7 +56,8 @@
 }
 
 /// Control traffic of one node since its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Traffic {
     /// Calls made and answered.
     pub messages: u64,
@@ -66,7 +68,8 @@
 }
 
 /// State of the gate of one node.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Condition {
     /// Step of the gate's life cycle.
     pub gate: String,
--- a/src/membership/delta.rs
+++ b/src/membership/delta.rs
@@ -7,7 +7,8 @@
 use super::text::{Stamp, Text};
 
 /// How to make one text of another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Delta {
     /// Text it applies to.
     pub base: Stamp,
@@ -18,7 +19,8 @@
 }
 
 /// One step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Edit {
     /// Takes over so many lines.
     Keep(u32),
--- a/src/membership/id.rs
+++ b/src/membership/id.rs
@@ -4,9 +4,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Hash of an instance's name.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Id(pub u64);
 
 impl Id {
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -5,13 +5,13 @@
 use serde::{Deserialize, Serialize};
 
 /// Counts the starts and re-announcements of one instance. Higher is newer.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Epoch(pub u64);
 
 /// Announcement of one instance, as the store keeps it and peers spread it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Instance {
     /// Unique name of the instance.
     pub name: String,
@@ -34,7 +34,8 @@
 }
 
 /// What an instance announces of its life cycle.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum State {
     /// Takes new work.
     Present,
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -8,7 +8,8 @@
 use super::{Epoch, Id};
 
 /// Heartbeat, and the answer to one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Who sends it.
     pub from: Id,
@@ -23,7 +24,8 @@
 }
 
 /// Standing of an instance under one announcement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Held {
     /// The announcement.
     pub epoch: Epoch,
@@ -32,7 +34,8 @@
 }
 
 /// Changes of plan and view.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct News {
     /// Who sends it.
     pub from: Id,
@@ -47,7 +50,8 @@
 }
 
 /// One node's word that another does not answer it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Accusation {
     /// Who does not answer.
     pub accused: Id,
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -22,7 +22,8 @@
 const FORGET_AFTER: Duration = Duration::from_hours(24);
 
 /// What is held of an instance. Later variants supersede earlier ones.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Standing {
     /// Takes new work.
     Present,
@@ -35,7 +36,8 @@
 }
 
 /// One instance with its standing.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// Its announcement.
     pub instance: Instance,
--- a/src/membership/text.rs
+++ b/src/membership/text.rs
@@ -14,9 +14,8 @@
 
 /// Names one text. Higher is newer; the digest decides between texts that a
 /// store has given the same version.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Stamp {
     /// Number of the accepted sheet.
     pub version: Version,
@@ -25,7 +24,8 @@
 }
 
 /// Text of an accepted sheet.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Text {
     version: Version,
     text: String,
@@ -55,7 +55,8 @@
 }
 
 /// What a node answers to a peer that asks for the newest text.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Update {
     /// There is nothing newer.
     Current,
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -96,7 +96,10 @@
             clock,
             observer,
             ids,
-            settings: entry::Settings::default(),
+            settings: entry::Settings {
+                keys_after: membership::Settings::default().announcement_spread * 2,
+                ..entry::Settings::default()
+            },
         });
         let follower = Follower {
             handle: handle.clone(),
--- a/src/node/ready.rs
+++ b/src/node/ready.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 /// Addresses of a node that listens.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Ready {
     /// Always true; tells this line from others.
     pub ready: bool,
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -26,7 +26,8 @@
 const CALL_PATH: &str = "http://peer/call/1";
 
 /// the node at {address} takes no calls ({cause}); see whether it runs and its peer port is open
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
 pub struct LinkDown {
     /// Peer that was called.
     pub address: SocketAddr,
--- a/src/peer/wire/decoder.rs
+++ b/src/peer/wire/decoder.rs
@@ -7,7 +7,8 @@
 use super::{HEADER_BYTES, MAX_BODY_BYTES, MAX_MESSAGE_BYTES, kind};
 
 /// Why bytes are no frames.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Malformed {
     /// a frame of {bytes} bytes is longer than allowed; check what is connected to the peer port
     TooLong {
--- a/src/plan/acceptance.rs
+++ b/src/plan/acceptance.rs
@@ -80,7 +80,8 @@
 }
 
 /// Why nothing is known to have been accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Error {
     /// {0}
     Store(store::Error),
@@ -196,7 +197,8 @@
 }
 
 /// One remembered acceptance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Entry {
     /// Version that was put in force.
     pub version: Version,
--- a/src/plan/head.rs
+++ b/src/plan/head.rs
@@ -27,7 +27,8 @@
 pub const PAST_PARTS_LEN: usize = 1;
 
 /// What the head says.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Head {
     /// Version in force.
     pub version: Version,
@@ -47,7 +48,8 @@
 }
 
 /// An earlier acceptance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Past {
     /// Version that was in force.
     pub version: Version,
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -22,9 +22,8 @@
 pub use regions::Regions;
 
 /// Number of an accepted sheet; each acceptance adds one. Zero means none.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Version(pub u64);
 
 impl fmt::Display for Version {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -20,7 +20,8 @@
 const MAX_GRACE_S: u64 = 86_400;
 
 /// One thing that is wrong with the settings.
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Fault {
     /// --{flag} ({variable}) is missing; give {value}: {help}
     Missing {
--- a/src/sheet/delta.rs
+++ b/src/sheet/delta.rs
@@ -10,14 +10,16 @@
 use super::{Fault, Sheet, parse, write};
 
 /// What turns one sheet into another.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Delta {
     /// Differences in the order of their keys.
     pub changes: Vec<Change>,
 }
 
 /// One row that differs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// Which row.
     pub key: Key,
@@ -28,7 +30,8 @@
 }
 
 /// Why a delta does not fit.
-#[derive(Clone, Debug, PartialEq, Eq, Describe)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Describe)]
 pub enum Error {
     /// the delta was made for another sheet, in which {0} is different; fetch the whole sheet
     Base(Key),
--- a/src/sheet/fault.rs
+++ b/src/sheet/fault.rs
@@ -8,7 +8,8 @@
 const VALUE_CHARS_MAX: usize = 60;
 
 /// One reason to refuse a sheet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Fault {
     /// Row as a spreadsheet counts it, from 1.
     pub row: usize,
--- a/src/sheet/row.rs
+++ b/src/sheet/row.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What a row declares.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// A region.
@@ -51,7 +52,8 @@
 }
 
 /// What identifies a row.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Key {
     /// What the row declares.
     pub kind: Kind,
@@ -71,7 +73,8 @@
 }
 
 /// One declaration without its key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Row {
     /// A region.
@@ -101,7 +104,8 @@
 }
 
 /// An availability zone.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Zone {
     /// Region it lies in.
     pub region: String,
@@ -110,7 +114,8 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Service {
     /// Concurrent calls one backend server can hold.
     pub slots: u32,
@@ -123,14 +128,16 @@
 }
 
 /// A tenant.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Tenant {
     /// Home regions.
     pub home: Home,
 }
 
 /// A route.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Route {
     /// Method it matches; every method when absent.
     pub method: Option<Method>,
@@ -149,7 +156,8 @@
 }
 
 /// Regions that may serve and store a call.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Home {
     /// Every region of the sheet.
@@ -159,7 +167,8 @@
 }
 
 /// Methods that a route can match.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Method {
     /// GET
--- a/src/standin/backend/checks.rs
+++ b/src/standin/backend/checks.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What arrived, and what should not have.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Checks {
     /// Requests received, shed ones included.
     pub received: u64,
@@ -42,7 +43,8 @@
 }
 
 /// Number of executions per request id.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Executions(pub BTreeMap<String, u32>);
 
 impl Executions {
--- a/src/standin/backend/control.rs
+++ b/src/standin/backend/control.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Changes to a running backend server; absent fields change nothing.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
     /// Work that arrives later than this is work after the zone went out.
--- a/src/standin/store/counters.rs
+++ b/src/standin/store/counters.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Calls since the start, read by `GET /-/counters`.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counters {
     /// `get` calls.
     pub gets: u64,
--- a/src/standin/store/faults.rs
+++ b/src/standin/store/faults.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Faults in force, set by `POST /-/faults`. Fields left out are off.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Connections end without an answer, and nothing takes effect.
--- a/src/standin/store/service.rs
+++ b/src/standin/store/service.rs
@@ -28,7 +28,8 @@
 const LAPSE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Ends a connection without an answer.
-#[derive(Debug, Display)]
+#[derive(Debug)]
+#[derive(Display)]
 pub(super) enum Abort {
     /// the stand-in is down; clear the fault
     Down,
--- a/src/store/error.rs
+++ b/src/store/error.rs
@@ -3,7 +3,8 @@
 use displaydoc::Display;
 
 /// Why a store call failed.
-#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display)]
 pub enum Error {
     /// the store at {address} does not answer ({cause}); check --store and the platform's service
     Unreachable {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -20,23 +20,23 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Counts every change in the store.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Revision(pub u64);
 
 /// Chosen by the writer and stored with the value.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct WriteId(pub u64);
 
 /// Names a lease; keys written under it vanish when it lapses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Lease(pub u64);
 
 /// A key with its value.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Path-like name.
     pub key: String,
@@ -49,7 +49,8 @@
 }
 
 /// Records under a prefix.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Listing {
     /// Revision of the whole store when it was read.
     pub revision: Revision,
@@ -58,7 +59,8 @@
 }
 
 /// One change under a watched prefix.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Change {
     /// A key was written.
     Put(Record),
@@ -72,7 +74,8 @@
 }
 
 /// What a watch returns.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Watched {
     /// Changes after the revision asked for; empty when the wait ran out.
     Changes {
@@ -86,7 +89,8 @@
 }
 
 /// A write.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Write {
     /// Key to write.
     pub key: String,
@@ -101,7 +105,8 @@
 }
 
 /// Condition of a write.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Expect {
     /// Write whatever is there.
     Anything,
@@ -112,7 +117,8 @@
 }
 
 /// What became of a write.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// It took effect.
     Applied(Revision),
--- a/src/store/protocol.rs
+++ b/src/store/protocol.rs
@@ -20,28 +20,32 @@
 pub const WATCH: &str = "/v1/watch";
 
 /// Reads one key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Get {
     /// Key to read.
     pub key: String,
 }
 
 /// Answer to [`Get`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Got {
     /// The record, if there is one.
     pub record: Option<Record>,
 }
 
 /// Reads all keys under a prefix; answered by a [`Listing`](super::Listing).
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct List {
     /// Start of the keys.
     pub prefix: String,
 }
 
 /// Answer to a [`Write`](super::Write).
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Written {
     /// It took effect.
     Applied(Revision),
@@ -50,35 +54,40 @@
 }
 
 /// Takes a lease; answered by a [`Lease`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Grant {
     /// Time to live, in milliseconds.
     pub ttl_ms: u64,
 }
 
 /// Extends a lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Renew {
     /// Lease to extend.
     pub lease: Lease,
 }
 
 /// Answer to [`Renew`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Renewed {
     /// Whether the lease still existed.
     pub alive: bool,
 }
 
 /// Ends a lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Revoke {
     /// Lease to end.
     pub lease: Lease,
 }
 
 /// Waits for changes; answered by [`Watched`](super::Watched).
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Watch {
     /// Start of the keys.
     pub prefix: String,
