Give the backend server a span of its own

Cause: a slow call showed entry, attempt and gate, but not whether the time went to the queue or to the backend server. Change: the dispatch is recorded as a hop; a ten-deep call over real sockets is shown to form one tree of 40 spans.

--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -90,6 +90,16 @@
     Unknown(Unknown),
 }
 
+impl Outcome {
+    fn end(&self) -> End {
+        match self {
+            Self::Answered(response) => End::Answered(response.status()),
+            Self::NotRun(refused) => End::NotRun(refused.reason()),
+            Self::Unknown(unknown) => End::Unknown(unknown.loss()),
+        }
+    }
+}
+
 /// What passes between a running call and whoever waits for it.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -146,11 +156,7 @@
         );
         let call = call.route(rule.worth, started + rule.deadline);
         let outcome = self.carry(call, job, rule, progress, body).await;
-        recording.end(match &outcome {
-            Outcome::Answered(response) => End::Answered(response.status()),
-            Outcome::NotRun(refused) => End::NotRun(refused.reason()),
-            Outcome::Unknown(unknown) => End::Unknown(unknown.loss()),
-        });
+        recording.end(outcome.end());
         outcome
     }
 
@@ -282,13 +288,25 @@
         };
         let now = self.clock.now();
         let time_left = call.deadline().since(now);
-        let request = self.request(job, rule, time_left);
+        let trace = job.trace.child(&self.ids);
+        let recording = Recording::begin(
+            &self.observer,
+            self.clock,
+            &rule.situation,
+            rule.route,
+            trace,
+            Duty::BackendServer,
+        );
+        let request = Self::request(job, rule, time_left, trace);
         let call = call.dispatch(now);
-        self.dispatch(call, connection, request.map(|()| body()), time_left)
-            .await
+        let outcome = self
+            .dispatch(call, connection, request.map(|()| body()), time_left)
+            .await;
+        recording.end(outcome.end());
+        outcome
     }
 
-    fn request(&self, job: Job, rule: &Rule, time_left: Duration) -> Request<()> {
+    fn request(job: Job, rule: &Rule, time_left: Duration, trace: Trace) -> Request<()> {
         let mut request = Request::new(());
         *request.method_mut() = job.method;
         *request.uri_mut() = Uri::from(job.path);
@@ -299,7 +317,7 @@
             ..job.context
         };
         context.write(request.headers_mut(), time_left);
-        job.trace.child(&self.ids).write(request.headers_mut());
+        trace.write(request.headers_mut());
         request
     }
 
--- a/src/call/observer.rs
+++ b/src/call/observer.rs
@@ -15,6 +15,8 @@
     Attempt,
     /// Admitted the call to its own backend server.
     Gate,
+    /// Waited for its own backend server.
+    BackendServer,
 }
 
 /// How a span ended.
--- a/src/entry/tests/depth.rs
+++ b/src/entry/tests/depth.rs
@@ -106,6 +106,30 @@
     assert!(answer.body.expect("whole").contains("too-many-hops"));
 }
 
+/// Entry, attempt, gate and backend server, ten times.
+const SPANS: usize = 40;
+
+async fn spans_of_ten_hops() {
+    let (world, _looping) = looping(usize::MAX).await;
+    send(world.front.instance.caller, get()).await;
+    let traces = || {
+        let mut traces = world.front.recorder.traces();
+        traces.extend(world.desks[0].recorder.traces());
+        traces
+    };
+    while traces().len() < SPANS {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let traces = traces();
+    assert_eq!(traces.len(), SPANS);
+    assert!(traces.iter().all(|trace| trace.id == traces[0].id));
+    let roots = traces.iter().filter(|trace| trace.parent == 0);
+    assert_eq!(roots.count(), 1);
+    for trace in traces.iter().filter(|trace| trace.parent != 0) {
+        assert!(traces.iter().any(|parent| parent.span == trace.parent));
+    }
+}
+
 async fn cancelled_through_ten_hops() {
     let (world, looping) = looping(10).await;
     let calling = tokio::spawn(start(world.front.instance.caller, get()));
@@ -141,6 +165,7 @@
 
 cases! {
     loop_of_services_ends_at_ten_hops: run(loop_of_services());
+    spans_of_a_ten_deep_call_form_one_tree: run(spans_of_ten_hops());
     cancellation_passes_ten_hops: run(cancelled_through_ten_hops());
     http2_caller_is_served: run(http2_caller());
 }
--- a/src/entry/tests/world.rs
+++ b/src/entry/tests/world.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::backend::{self, Executor};
+use crate::call::Trace;
 use crate::call::claim::Claims;
 use crate::call::{Admission, Event, Ids, Observer, Snapshot, Span};
 use crate::clock::Clock;
@@ -44,21 +45,30 @@
 
 /// Keeps what it is told.
 #[derive(Debug, Default)]
-pub struct Recorder(Mutex<Vec<Event>>);
+pub struct Recorder {
+    events: Mutex<Vec<Event>>,
+    traces: Mutex<Vec<Trace>>,
+}
 
 impl Recorder {
+    pub fn traces(&self) -> Vec<Trace> {
+        self.traces.lock().expect("no panic").clone()
+    }
+
     pub fn count(&self, wanted: Event) -> usize {
-        let events = self.0.lock().expect("no panic");
+        let events = self.events.lock().expect("no panic");
         events.iter().filter(|&&event| event == wanted).count()
     }
 }
 
 impl Observer for Recorder {
     fn event(&self, event: Event) {
-        self.0.lock().expect("no panic").push(event);
+        self.events.lock().expect("no panic").push(event);
     }
 
-    fn span(&self, _span: &Span<'_>) {}
+    fn span(&self, span: &Span<'_>) {
+        self.traces.lock().expect("no panic").push(span.trace);
+    }
 }
 
 fn regions(keys: &[u16]) -> Regions {
--- a/src/node/observe.rs
+++ b/src/node/observe.rs
@@ -96,6 +96,7 @@
         Duty::Entry => Kind::Entry,
         Duty::Attempt => Kind::Attempt,
         Duty::Gate => Kind::Gate,
+        Duty::BackendServer => Kind::BackendServer,
     }
 }
 
