Route a recalled call anew though the retry budget is spent

Cause: a recall takes a call out of a queue before its retry is paid for; with the budget spent meanwhile the caller got a refusal in place of its turn. Ruled out: taking the token before the recall, since most recalls come too late. Change: such a call is always routed anew; the token is taken if there is one.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -187,10 +187,16 @@
         Ok(choice)
     }
 
+    /// A gate that closed is kept out of the choice for a while, so such retries
+    /// cannot add up. A recall was planned because the budget had tokens saved,
+    /// and must not leave the caller with less than it had in the queue.
     fn may_retry(&self, now: Time, progress: &Progress) -> bool {
         let refused = progress.refused.map(NotRun::reason);
-        let closed = progress.unknown.is_none() && refused.is_some_and(Reason::is_closing);
-        closed || self.router().may_retry(now)
+        if progress.unknown.is_none() && refused.is_some_and(Reason::is_closing) {
+            return true;
+        }
+        let has_token = self.router().may_retry(now);
+        has_token || refused == Some(Reason::Recalled)
     }
 
     /// What is to be sent, if the call may be tried once more.
