Start test deployments acquainted again, and send every listed metric

Change: a deployment starts acquainted unless a test asks for an early one. Four metrics were listed and never sent (store calls, control bytes in and out, measuring bytes); they are off the list, and a test compares the list with what the node sends.

--- a/src/telemetry/metric/name.rs
+++ b/src/telemetry/metric/name.rs
@@ -13,8 +13,6 @@
     Micros,
     /// Seconds.
     Seconds,
-    /// Bytes since the last line.
-    Bytes,
     /// Bytes at the time of the line.
     ByteLevel,
     /// Parts of 10,000 of one core.
@@ -28,7 +26,7 @@
             Self::Level => "number",
             Self::Micros => "µs",
             Self::Seconds => "s",
-            Self::Bytes | Self::ByteLevel => "bytes",
+            Self::ByteLevel => "bytes",
             Self::CoreShare => "1/10,000 of a core",
         })
     }
@@ -98,10 +96,6 @@
     PlanVersion, "plan.version", Level, [], "Version of the plan in force";
     PlanAge, "plan.age", Seconds, [], "Time since the plan in force was taken up";
     ViewInstances, "view.instances", Level, [], "Instances known";
-    StoreCalls, "store.calls", Count, ["outcome"], "Calls to the store";
-    ControlBytesIn, "control.bytes_in", Bytes, [], "Control bytes received from nodes and store";
-    ControlBytesOut, "control.bytes_out", Bytes, [], "Control bytes sent to nodes and store";
-    MeasuringBytes, "measuring.bytes", Bytes, [], "Bytes of probes sent and received";
     ControlCpu, "control.cpu", CoreShare, [], "Processor time spent on control";
     Memory, "memory.resident", ByteLevel, [], "Resident memory of the node";
 }
--- a/src/telemetry/metric/tests.rs
+++ b/src/telemetry/metric/tests.rs
@@ -56,6 +56,16 @@
         let known: Vec<_> = Name::ALL.iter().map(|name| table_row(*name)).collect();
         assert_eq!(listed, known);
     };
+    every_metric_is_sent_by_the_node: {
+        let senders = [
+            include_str!("../../node/observe.rs"),
+            include_str!("../../node/report.rs"),
+        ];
+        for name in Name::ALL {
+            let used = format!("Name::{name:?}");
+            assert!(senders.iter().any(|sender| sender.contains(&used)), "{used}");
+        }
+    };
     lines_arrive_at_a_udp_collector: {
         let collector = UdpSocket::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = collector.local_addr().expect("a bound socket has an address");
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -79,7 +79,6 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn keyed_order_sent_through_several_nodes_runs_once_though_one_dies() {
     let mut world = World::start(Setup::default()).await;
-    world.wait_until_acquainted().await;
     tokio::time::sleep(STARTING).await;
     send_keyed_orders(&mut world, "order", Some(KEYED_ORDERS / 2)).await;
     assert!(!world.fleet.executions().await.unwrap().0.is_empty());
@@ -87,9 +86,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn keyed_order_runs_once_though_nodes_have_just_started() {
-    let mut world = World::start(Setup::default()).await;
+    let mut world = World::start_early(Setup::default()).await;
     send_keyed_orders(&mut world, "early", None).await;
-    world.wait_until_acquainted().await;
     tokio::time::sleep(STARTING).await;
     send_keyed_orders(&mut world, "late", Some(KEYED_ORDERS / 2)).await;
     assert!(!world.fleet.executions().await.unwrap().0.is_empty());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,7 +83,15 @@
 }
 
 impl World {
+    /// A deployment whose nodes know each other.
     pub async fn start(setup: Setup) -> Self {
+        let world = Self::start_early(setup).await;
+        world.wait_until_acquainted().await;
+        world
+    }
+
+    /// A deployment whose nodes may not have heard of each other yet.
+    pub async fn start_early(setup: Setup) -> Self {
         let sheet = sheet();
         let plan = sheet.plan(Version::default());
         let started = Instant::now();
@@ -121,7 +129,7 @@
     }
 
     /// Waits until every node and the store know of every node.
-    pub async fn wait_until_acquainted(&self) {
+    async fn wait_until_acquainted(&self) {
         wait_until_announced(&self.fleet)
             .await
             .expect("nodes announce themselves");
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -29,9 +29,7 @@
         },
         ..Setup::default()
     };
-    let world = World::start(setup).await;
-    world.wait_until_acquainted().await;
-    world
+    World::start(setup).await
 }
 
 fn caller_address(world: &World, index: usize) -> SocketAddr {
