--- a/src/bin/monsooncove-sheet/fleet.rs
+++ b/src/bin/monsooncove-sheet/fleet.rs
@@ -9,8 +9,8 @@
 use monsooncove::store::{self, Client};
 use tokio::time::timeout;
 
-/// Longest time one node may take to answer.
-const NODE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time one node may take to answer a single question.
+pub const NODE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Nodes asked at the same time.
 const PARALLEL_NODES: usize = 64;
 
@@ -37,20 +37,21 @@
     Ok(instances)
 }
 
-/// Asks `instances` for their status, in the order of their names.
-pub async fn ask(instances: Vec<Instance>) -> Vec<Node> {
-    let answers = instances.into_iter().map(|instance| async {
-        let status = status(instance.control).await;
+/// Asks `instances` for their status, in the order of their names. Each may
+/// take `limit` to answer.
+pub async fn ask(instances: Vec<Instance>, limit: Duration) -> Vec<Node> {
+    let answers = instances.into_iter().map(|instance| async move {
+        let status = status(instance.control, limit).await;
         Node { instance, status }
     });
     let asked = futures::stream::iter(answers).buffered(PARALLEL_NODES);
     asked.collect().await
 }
 
-async fn status(address: SocketAddr) -> Option<Status> {
+async fn status(address: SocketAddr, limit: Duration) -> Option<Status> {
     let answer = async {
         let control = membership::connect(address).await.ok()?;
         control.status(tarpc::context::current()).await.ok()
     };
-    timeout(NODE_TIMEOUT, answer).await.ok().flatten()
+    timeout(limit, answer).await.ok().flatten()
 }
--- a/src/bin/monsooncove-sheet/status.rs
+++ b/src/bin/monsooncove-sheet/status.rs
@@ -60,7 +60,7 @@
 
 /// Shows what is known and what the nodes say.
 pub async fn run(known: Known, json: bool) -> Result<Exit> {
-    let nodes = fleet::ask(known.instances.clone()).await;
+    let nodes = fleet::ask(known.instances.clone(), fleet::NODE_TIMEOUT).await;
     let report = report(&known, &nodes);
     if json {
         paint::json(&report);
--- a/src/bin/monsooncove-sheet/wait.rs
+++ b/src/bin/monsooncove-sheet/wait.rs
@@ -17,6 +17,9 @@
 
 /// Pause between two rounds of questions.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time one node may take to answer in a round. A silent node holds
+/// back the next question to all others for as long.
+const ROUND_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after which announcements are read again, so that nodes that leave
 /// are not waited for.
 const ANNOUNCED_REFRESH: Duration = Duration::from_secs(1);
@@ -130,7 +133,7 @@
 
     async fn round(&mut self) {
         let late = self.late().cloned().collect();
-        for node in fleet::ask(late).await {
+        for node in fleet::ask(late, ROUND_TIMEOUT).await {
             let Some(status) = node.status else { continue };
             self.followed = self.followed.max(status.plan_version);
             if status.plan_version >= self.version {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -19,12 +19,16 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn draining_backend_server_gets_no_work_though_its_node_restarts() {
     let mut world = World::start(Setup::default()).await;
-    let calls = world.call(world.kinds(&["calendar", "order-place"]), 150.0, 6);
+    let kinds = world.kinds(&["calendar", "order-place", "payment"]);
+    let calls = world.call(kinds, 150.0, 6);
     pause(500).await;
     world.control(MORAVA_B, draining()).await;
     pause(500).await;
     world.fleet.kill_node(MORAVA_B).await.unwrap();
     world.fleet.start_node(MORAVA_B).await.unwrap();
+    pause(1_500).await;
+    // Payments stay in morava, so from here on every one of them is refused.
+    world.control(MORAVA_A, draining()).await;
     let books = calls.await.unwrap();
     let ledger = world.settle(&books).await;
     assert_held(&ledger, Promise::Leaving);
