Name the headers of callers and backend servers in a dialect, and route by host

The product's own headers become the first dialect. Routes may be found by host and longest prefix, with attempts, objective, weighted targets; an entry may send a call to its home regions, replace a failed or cut answer to an idempotent call, and let refusals by gates pass the retry budget.

--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -9,7 +9,6 @@
 use http_body_util::BodyExt;
 use tokio::sync::Notify;
 use tokio::time::timeout;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::claim::{Claims, Question, Verdict};
 use crate::call::hop;
@@ -18,21 +17,23 @@
     Observer, Reason, Recording, Routed, Shed, Situations, Trace, Unknown, region_names,
 };
 use crate::clock::{Clock, Time};
-use crate::gate::{Load, Sign};
-use crate::headers;
+use crate::dialect::{Dialect, Order, Verdict as Answer};
+use crate::gate::Load;
 use crate::membership::Situation;
 use crate::plan::{Plan, Regions, Version, key};
 use crate::routing::Place;
 
 use super::answer::Tracked;
-use super::{Client, Connection, Failure};
+use super::{Client, Connection, Current, Failure, Server};
 
 /// Runs calls on this node's own backend server.
 pub struct Executor {
     /// Where the node runs.
     pub place: Place,
-    /// Service of the backend server.
-    pub service: String,
+    /// The backend server.
+    pub server: Arc<Current>,
+    /// Headers of the backend server.
+    pub dialect: Arc<dyn Dialect>,
     /// Plan in force.
     pub situations: Arc<dyn Situations>,
     /// Admission to the backend server.
@@ -53,7 +54,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Executor")
             .field("place", &self.place)
-            .field("service", &self.service)
+            .field("server", &self.server)
             .finish_non_exhaustive()
     }
 }
@@ -124,7 +125,11 @@
     /// What entries are told of the backend server.
     #[must_use]
     pub fn load(&self) -> Load {
-        self.admission.load()
+        let load = self.admission.load();
+        Load {
+            accepting: load.accepting && self.server.get().is_some(),
+            ..load
+        }
     }
 
     /// Version of the plan in force.
@@ -247,12 +252,14 @@
 
     fn rule_by(&self, situation: &Arc<Situation>, job: &Job) -> Result<Rule, Reason> {
         let plan = &situation.plan;
-        if job.service != self.service {
+        let server = self.server.get().ok_or(Reason::Unreachable)?;
+        if job.service != server.service {
             return Err(Reason::NoBackendServer);
         }
         let service = plan.service_names.get(&job.service);
         let &service = service.ok_or(Reason::UnknownService)?;
-        let route = plan.find_route(service, &job.method, job.path.path());
+        let host = hop::host(&job.headers);
+        let route = plan.find(service, host, &job.method, job.path.path());
         let key = route.ok_or(Reason::UnknownRoute)?;
         let tenant = find_tenant(plan, &job.context)?;
         let home = plan.home_regions(key, tenant);
@@ -282,6 +289,9 @@
         if time_left < Duration::from_millis(1) {
             return Outcome::NotRun(call.refuse(Reason::Deadline));
         }
+        let Some(server) = self.server.get() else {
+            return Outcome::NotRun(call.refuse(Reason::Draining));
+        };
         let connected = timeout(time_left, self.client.connect(!rule.idempotent)).await;
         let Ok(Ok(connection)) = connected else {
             return Outcome::NotRun(call.unreachable());
@@ -297,7 +307,7 @@
             trace,
             Duty::BackendServer,
         );
-        let request = Self::request(job, rule, time_left, trace);
+        let request = self.request(job, rule, &server, time_left, trace);
         let call = call.dispatch(now);
         let outcome = self
             .dispatch(call, connection, request.map(|()| body()), time_left)
@@ -306,7 +316,14 @@
         outcome
     }
 
-    fn request(job: Job, rule: &Rule, time_left: Duration, trace: Trace) -> Request<()> {
+    fn request(
+        &self,
+        job: Job,
+        rule: &Rule,
+        server: &Server,
+        time_left: Duration,
+        trace: Trace,
+    ) -> Request<()> {
         let mut request = Request::new(());
         *request.method_mut() = job.method;
         *request.uri_mut() = Uri::from(job.path);
@@ -316,7 +333,12 @@
             regions: rule.regions.clone(),
             ..job.context
         };
-        context.write(request.headers_mut(), time_left);
+        let order = Order {
+            context: &context,
+            time_left,
+            expected: server.process.as_deref(),
+        };
+        self.dialect.dispatch(request.headers_mut(), &order);
         trace.write(request.headers_mut());
         request
     }
@@ -328,6 +350,7 @@
         request: Request<Body>,
         time_left: Duration,
     ) -> Outcome {
+        let id = self.dialect.request_id(request.headers());
         let sent = timeout(time_left, connection.send(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
@@ -336,43 +359,35 @@
             Err(_) => return Outcome::Unknown(call.lose(Loss::Deadline)),
         };
         let (mut head, body) = response.into_parts();
-        self.read_signs(&head.headers);
-        if let Some(proof) = Shed::in_head(&head) {
-            return Outcome::NotRun(call.shed(proof));
+        match self.dialect.verdict(id.as_ref(), &head) {
+            Answer::Answered => {}
+            Answer::Shed => {
+                self.read_signs(&head.headers);
+                return Outcome::NotRun(call.shed(Shed::told()));
+            }
+            Answer::Misdirected => {
+                self.server.misdirected();
+                return Outcome::NotRun(call.shed(Shed::told()));
+            }
+            Answer::Foreign => return Outcome::Unknown(call.lose(Loss::BackendServer)),
         }
+        self.read_signs(&head.headers);
         let call = call.answer(self.clock.now());
         let service_time = call.service_time();
         self.observer.event(Event::Answered { service_time });
         hop::strip(&mut head.headers);
-        for own in [headers::OUTCOME, headers::REASON, headers::SERVE_AT] {
-            // Only an entry may say these of this call.
-            head.headers.remove(own);
-        }
+        self.dialect.strip(&mut head.headers);
         let body = Tracked::new(body, call).boxed_unsync();
         Outcome::Answered(Response::from_parts(head, body))
     }
 
     fn read_signs(&self, headers: &HeaderMap) {
-        if let Some(boot) = headers.get(headers::BACKEND_BOOT) {
-            self.admission.sign(Sign::Boot(xxh3_64(boot.as_bytes())));
-        }
-        let state = headers.get(headers::BACKEND_STATE);
-        if let Some(sign) = state.and_then(|state| state_sign(state.as_bytes())) {
+        for sign in self.dialect.signs(headers) {
             self.admission.sign(sign);
         }
     }
 }
 
-/// The sign in a backend server's word for its own state.
-pub(super) fn state_sign(word: &[u8]) -> Option<Sign> {
-    match word {
-        b"cold" => Some(Sign::Cold),
-        b"serving" => Some(Sign::Serving),
-        b"draining" => Some(Sign::Draining),
-        _ => None,
-    }
-}
-
 /// The tenant that a call names.
 ///
 /// # Errors
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -6,12 +6,14 @@
 
 mod answer;
 mod client;
+mod current;
 mod executor;
 mod http;
 mod pool;
 mod watch;
 
 pub use client::{Client, Connection, Failure, Unreachable};
+pub use current::{Current, Server};
 pub use executor::{Executor, Job, Outcome, Progress};
 pub(crate) use executor::{contains_region, find_tenant};
 pub use http::{Http, Settings};
--- a/src/backend/watch.rs
+++ b/src/backend/watch.rs
@@ -14,10 +14,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::{Admission, Cut};
+use crate::dialect::state_sign;
 use crate::gate::Sign;
 
 use super::Client;
-use super::executor::state_sign;
 
 const HEALTH_PATH: &str = "/-/health";
 const MAX_REPORT_BYTES: usize = 4 * 1024;
--- a/src/bench/policy/fleet.rs
+++ b/src/bench/policy/fleet.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Time;
 use crate::membership::{Epoch, Instance, Situation, State, View};
-use crate::plan::{Plan, Region, Service, Version, Zone, key};
+use crate::plan::{Plan, Region, Service, Upkeep, Version, Zone, key};
 
 use super::faults::Faults;
 use super::scenario::{COLD, Deployment, SLOTS};
@@ -109,6 +109,7 @@
         slots: SLOTS,
         cold: COLD,
         routes: Vec::new(),
+        upkeep: Upkeep::default(),
     });
     plan
 }
--- a/src/call/cycle.rs
+++ b/src/call/cycle.rs
@@ -120,11 +120,9 @@
 pub struct Shed(());
 
 impl Shed {
-    /// Only the head of an answer can tell.
-    pub(crate) fn in_head(head: &http::response::Parts) -> Option<Self> {
-        let refused = head.status == http::StatusCode::SERVICE_UNAVAILABLE;
-        let said = head.headers.get(crate::headers::BACKEND_NOT_RUN)?;
-        (refused && said == "1").then_some(Self(()))
+    /// Only the head of an answer can tell, read by the dialect.
+    pub(crate) const fn told() -> Self {
+        Self(())
     }
 }
 
--- a/src/call/hop.rs
+++ b/src/call/hop.rs
@@ -17,6 +17,12 @@
     PROXY_CONNECTION,
 ];
 
+/// Host that a request names, without its port.
+pub(crate) fn host(headers: &HeaderMap) -> Option<&str> {
+    let field = headers.get(header::HOST)?.to_str().ok()?;
+    field.split(':').next()
+}
+
 /// Removes the fields of this hop and those that `Connection` names. Keeps the
 /// wish for trailers, which every hop here can fulfil.
 pub(crate) fn strip(headers: &mut HeaderMap) {
--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -96,8 +96,10 @@
                 | Self::Shed
                 | Self::Recalled
                 | Self::NoPlan
+                | Self::NoBackendServer
         )
     }
+
     /// Name used in headers, metrics and refusal bodies.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/src/entry/refusal.rs
+++ b/src/dialect/refusal.rs
@@ -1,17 +1,20 @@
 //! Answers of the entry itself. docs/CALLS.md lists them.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use serde::Serialize;
 
-use crate::call::{Body, Loss, NotRun, Reason, Unknown};
+use crate::call::{Body, Loss, Reason, Unknown};
 use crate::headers;
 
+use super::Refusal;
+
 const NOT_RUN: &str = "not-run";
 const UNKNOWN: &str = "unknown";
-const RETRY_AFTER_S: u32 = 1;
 
 #[derive(Debug)]
 #[derive(Serialize)]
@@ -22,8 +25,8 @@
 }
 
 /// Answer to a call that certainly did not run.
-pub(super) fn not_run(refused: NotRun) -> Response<Body> {
-    let reason = refused.reason();
+pub(super) fn not_run(refusal: &Refusal<'_>) -> Response<Body> {
+    let reason = refusal.reason;
     let explanation = Explanation {
         outcome: NOT_RUN,
         reason: reason.as_str(),
@@ -31,17 +34,11 @@
     };
     let mut response = answer(status(reason), &explanation);
     if may_help_later(reason) {
-        let seconds = HeaderValue::from(RETRY_AFTER_S);
+        let seconds = HeaderValue::from(whole_seconds(refusal.retry_after));
         response.headers_mut().insert(RETRY_AFTER, seconds);
     }
-    response
-}
-
-/// The same, with addresses that may serve the call.
-pub(super) fn elsewhere(refused: NotRun, addresses: &str) -> Response<Body> {
-    let mut response = not_run(refused);
-    if let Ok(value) = HeaderValue::from_str(addresses)
-        && !addresses.is_empty()
+    if let Ok(value) = HeaderValue::from_str(refusal.addresses)
+        && !refusal.addresses.is_empty()
     {
         response.headers_mut().insert(headers::SERVE_AT, value);
     }
@@ -63,6 +60,14 @@
     answer(status, &explanation)
 }
 
+/// The header takes whole seconds only (RFC 9110, 10.2.3).
+fn whole_seconds(time: Duration) -> u64 {
+    time.as_millis()
+        .div_ceil(1_000)
+        .try_into()
+        .unwrap_or(u64::MAX)
+}
+
 fn answer(status: StatusCode, explanation: &Explanation) -> Response<Body> {
     let text = serde_json::to_vec(explanation).unwrap_or_default();
     let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -6,16 +6,18 @@
 use hyper::body::Incoming;
 
 use crate::call::{
-    Body, Call, Cut, Duty, End, Event, NotRun, Reason, Received, Recording, Routed, Unknown,
+    Body, Call, Cut, Duty, End, Event, Loss, NotRun, Reason, Received, Recording, Routed, Unknown,
 };
 use crate::clock::Time;
+use crate::dialect::Refusal;
 use crate::peer::Upload;
 use crate::routing::{self, Ask, Avoid, Choice};
 
+use super::Entry;
 use super::attempt::Attempted;
 use super::claim::{self, Claim, Obstacle};
+use super::hold::{Held, hold};
 use super::request::{Refusable, Routable};
-use super::{Entry, refusal};
 
 use http_body_util::BodyExt;
 
@@ -23,18 +25,52 @@
 struct Progress {
     avoid: Avoid,
     attempts: u32,
+    /// Attempts that a backend server has seen or may have seen.
+    reached: u32,
     deadline: Time,
     refused: Option<NotRun>,
     unknown: Option<Unknown>,
+    /// Answer of a backend server that failed, in case no better one comes.
+    failure: Option<Response<Body>>,
 }
 
 impl Progress {
-    /// What all attempts together amount to: one of unknown outcome makes the
-    /// call unknown, whatever came after it.
-    fn end(&self, without_attempt: NotRun) -> Ended {
-        match self.unknown {
-            Some(unknown) => Ended::Unknown(unknown),
-            None => Ended::NotRun(self.refused.unwrap_or(without_attempt)),
+    const fn new(deadline: Time) -> Self {
+        Self {
+            avoid: Avoid::new(),
+            attempts: 0,
+            reached: 0,
+            deadline,
+            refused: None,
+            unknown: None,
+            failure: None,
+        }
+    }
+
+    fn begin(&mut self, choice: &Choice) {
+        self.attempts += 1;
+        self.avoid.insert(choice.backend);
+    }
+
+    fn refuse(&mut self, refused: NotRun) {
+        self.refused = Some(refused);
+        if refused.reason() == Reason::Shed {
+            self.reached += 1;
+        }
+    }
+
+    fn lose(&mut self, unknown: Unknown) {
+        self.reached += 1;
+        self.unknown = Some(unknown);
+    }
+
+    /// What all attempts together amount to: an answer counts most, and one
+    /// attempt of unknown outcome makes the call unknown, whatever came after it.
+    fn end(self, without_attempt: NotRun) -> Ended {
+        match (self.failure, self.unknown) {
+            (Some(answer), _) => Ended::Answered(answer),
+            (None, Some(unknown)) => Ended::Unknown(unknown),
+            (None, None) => Ended::NotRun(self.refused.unwrap_or(without_attempt)),
         }
     }
 }
@@ -79,11 +115,11 @@
             }
             Ended::NotRun(refused) => {
                 recording.end(End::NotRun(refused.reason()));
-                refusal::not_run(refused)
+                self.not_run(refused, "")
             }
             Ended::Unknown(unknown) => {
                 recording.end(End::Unknown(unknown.loss()));
-                refusal::unknown(unknown)
+                parts.dialect.unknown(unknown)
             }
         }
     }
@@ -115,17 +151,19 @@
     fn refuse(&self, call: Call<Received>, refusable: &Refusable) -> Response<Body> {
         let refused = call.refuse(refusable.reason);
         self.parts.observer.event(Event::Refused(refused.reason()));
-        refusal::elsewhere(refused, &refusable.addresses)
+        self.not_run(refused, &refusable.addresses)
+    }
+
+    fn not_run(&self, refused: NotRun, addresses: &str) -> Response<Body> {
+        self.parts.dialect.not_run(&Refusal {
+            reason: refused.reason(),
+            retry_after: self.parts.settings.retry_after,
+            addresses,
+        })
     }
 
     async fn forward(&self, call: Call<Routed>, routable: &mut Routable, upload: Upload) -> Ended {
-        let mut progress = Progress {
-            avoid: Avoid::default(),
-            attempts: 0,
-            deadline: call.deadline(),
-            refused: None,
-            unknown: None,
-        };
+        let mut progress = Progress::new(call.deadline());
         let mut upload = upload;
         let now = self.parts.clock.now();
         self.router().call_made(now);
@@ -134,21 +172,26 @@
                 Ok(choice) => choice,
                 Err(reason) => return progress.end(call.refuse(reason)),
             };
-            progress.attempts += 1;
-            progress.avoid.insert(choice.backend);
+            progress.begin(&choice);
             let time_left = progress.deadline.since(self.parts.clock.now());
+            let again = upload.again().filter(|_| routable.idempotent);
             let left = match self.attempt(routable, &choice, upload, time_left).await {
-                Attempted::Answered(response) => return Ended::Answered(response),
+                Attempted::Answered(response) => {
+                    match self.take(response, again, routable, &mut progress).await {
+                        Ok(response) => return Ended::Answered(response),
+                        Err(left) => left,
+                    }
+                }
                 Attempted::NotRun(refused, left) => {
-                    progress.refused = Some(refused);
+                    progress.refuse(refused);
                     left.filter(|_| refused.reason().is_local())
                 }
                 Attempted::Unknown(unknown, left) => {
-                    progress.unknown = Some(unknown);
+                    progress.lose(unknown);
                     left.filter(|_| routable.idempotent)
                 }
             };
-            match self.next_attempt(left, &progress) {
+            match self.next_attempt(left, routable, &progress) {
                 Some(left) => upload = left,
                 None => return progress.end(call.refuse(Reason::NoBackendServer)),
             }
@@ -158,6 +201,38 @@
         }
     }
 
+    /// Takes an answer for the caller, or what is to be sent once more when
+    /// another backend server may give a better one.
+    async fn take(
+        &self,
+        response: Response<Body>,
+        again: Option<Upload>,
+        routable: &Routable,
+        progress: &mut Progress,
+    ) -> Result<Response<Body>, Option<Upload>> {
+        let limit = self.parts.settings.held_answer_bytes;
+        if limit == 0 || !routable.idempotent {
+            return Ok(response);
+        }
+        let failed = response.status().is_server_error();
+        match hold(response, limit).await {
+            Held::Ready(response) if failed => {
+                progress.reached += 1;
+                progress.failure = Some(response);
+                Err(again)
+            }
+            Held::Ready(response) => Ok(response),
+            Held::Broken(cut) => {
+                let loss = match cut {
+                    Cut::Deadline => Loss::Deadline,
+                    _ => Loss::BackendServer,
+                };
+                progress.lose(Unknown::by(loss));
+                Err(again)
+            }
+        }
+    }
+
     fn choose(
         &self,
         routable: &Routable,
@@ -192,19 +267,30 @@
     /// and must not leave the caller with less than it had in the queue.
     fn may_retry(&self, now: Time, progress: &Progress) -> bool {
         let refused = progress.refused.map(NotRun::reason);
-        if progress.unknown.is_none() && refused.is_some_and(Reason::is_closing) {
+        if progress.reached == 0 && self.is_free(refused) {
             return true;
         }
         let has_token = self.router().may_retry(now);
         has_token || refused == Some(Reason::Recalled)
     }
 
+    fn is_free(&self, refused: Option<Reason>) -> bool {
+        self.parts.settings.free_refusals || refused.is_some_and(Reason::is_closing)
+    }
+
     /// What is to be sent, if the call may be tried once more.
-    fn next_attempt(&self, upload: Option<Upload>, progress: &Progress) -> Option<Upload> {
+    fn next_attempt(
+        &self,
+        upload: Option<Upload>,
+        routable: &Routable,
+        progress: &Progress,
+    ) -> Option<Upload> {
         let upload = upload.filter(Upload::is_replayable)?;
         let now = self.parts.clock.now();
         let spent = progress.attempts >= self.parts.settings.max_attempts;
-        if spent || now >= progress.deadline || !self.may_retry(now, progress) {
+        let allowed = routable.attempts();
+        let reached = allowed.is_some_and(|allowed| progress.reached >= allowed);
+        if spent || reached || now >= progress.deadline || !self.may_retry(now, progress) {
             return None;
         }
         self.parts.observer.event(Event::Retried);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,6 +24,7 @@
 //!     executor,
 //!     links: Arc::new(links),
 //!     clock: Clock::start(),
+//!     dialect: Arc::new(monsooncove::dialect::Native),
 //!     observer,
 //!     ids: Arc::new(call::Ids::new(1)),
 //!     settings: entry::Settings::default(),
@@ -46,7 +47,7 @@
 mod attempt;
 mod claim;
 mod forward;
-mod refusal;
+mod hold;
 mod request;
 mod server;
 mod settings;
@@ -59,6 +60,7 @@
 use crate::backend::Executor;
 use crate::call::{Ids, Observer, Situations};
 use crate::clock::Clock;
+use crate::dialect::Dialect;
 use crate::peer::Links;
 use crate::routing::{Place, Router};
 
@@ -81,6 +83,8 @@
     pub links: Arc<Links>,
     /// Clock of the node.
     pub clock: Clock,
+    /// Headers of callers.
+    pub dialect: Arc<dyn Dialect>,
     /// Metrics and traces.
     pub observer: Arc<dyn Observer>,
     /// Source of call and span ids.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -9,6 +9,7 @@
 
 use crate::backend::{contains_region, find_tenant};
 use crate::call::{Context, Reason, Trace, hop, region_names};
+use crate::dialect::Dialect;
 use crate::headers;
 use crate::membership::{Situation, State};
 use crate::plan::{Plan, Regions, Version, key};
@@ -57,21 +58,31 @@
     pub(super) fn check(entry: &Entry, head: Head) -> Result<Self, Refusable> {
         let parts = &entry.parts;
         check_form(&head)?;
-        let context = Context::receive(&head.headers)?;
+        let context = parts.dialect.context(&head.headers)?;
         let situation = parts.situations.situation();
         let plan = &situation.plan;
         if plan.version == Version::default() {
             return Err(Reason::NoPlan.into());
         }
         let path = path(&head)?;
-        let service = find_service(plan, &head, &parts.service)?;
+        let host = host(&head);
         let asked = Asked {
-            service,
             method: &head.method,
+            host,
             path: path.path(),
             context: &context,
         };
-        let (route, allowed) = asked.home(&situation, entry)?;
+        let named = if plan.hosts.is_empty() {
+            Some(find_service(plan, &head, &parts.service)?)
+        } else {
+            None
+        };
+        let way = asked.way(&situation, entry, named)?;
+        let Way {
+            service,
+            route,
+            allowed,
+        } = way;
         let trace = Trace::receive(&head.headers, &parts.ids);
         let by_plan = plan.route(route);
         let time_left = context
@@ -91,7 +102,7 @@
             path,
             waits_for_continue,
             trace,
-            headers: end_to_end(head),
+            headers: end_to_end(head, parts.dialect.as_ref(), &parts.service),
             situation,
         })
     }
@@ -103,15 +114,21 @@
             return Ok(());
         }
         let plan = &situation.plan;
-        let service = plan.service_names.get(self.service_name());
-        let &service = service.ok_or(Reason::UnknownService)?;
+        let known = plan.service_names.get(self.service_name()).copied();
+        if known.is_none() && plan.hosts.is_empty() {
+            return Err(Reason::UnknownService.into());
+        }
         let asked = Asked {
-            service,
             method: &self.method,
+            host: hop::host(&self.headers),
             path: self.path.path(),
             context: &self.context,
         };
-        let (route, allowed) = asked.home(&situation, entry)?;
+        let Way {
+            service,
+            route,
+            allowed,
+        } = asked.way(&situation, entry, known)?;
         self.context.regions = region_names(plan, allowed);
         self.service = service;
         self.route = route;
@@ -126,6 +143,11 @@
         &self.situation.plan.service(self.service).name
     }
 
+    /// Backend servers that the call may be sent to, where the plan says so.
+    pub(super) fn attempts(&self) -> Option<u32> {
+        self.situation.plan.route(self.route).terms.attempts
+    }
+
     /// Stated worth of one answer.
     pub(super) fn worth(&self) -> u32 {
         self.situation.plan.route(self.route).worth
@@ -134,33 +156,66 @@
 
 /// What the plan is asked about a request.
 struct Asked<'a> {
-    service: key::Service,
     method: &'a Method,
+    host: Option<&'a str>,
     path: &'a str,
     context: &'a Context,
 }
 
+/// Where a request may go.
+struct Way {
+    service: key::Service,
+    route: key::Route,
+    allowed: Regions,
+}
+
 impl Asked<'_> {
-    /// The route and the regions that may serve the request, this one included.
-    fn home(
+    /// The route, a service that it leads to, and the regions that may serve
+    /// the request, this one included. Keeps to `known` where the route allows.
+    fn way(
         &self,
         situation: &Situation,
         entry: &Entry,
-    ) -> Result<(key::Route, Regions), Refusable> {
+        known: Option<key::Service>,
+    ) -> Result<Way, Refusable> {
         let plan = &situation.plan;
-        let route = plan.find_route(self.service, self.method, self.path);
-        let route = route.ok_or(Reason::UnknownRoute)?;
+        let (route, service) = self.route(plan, entry, known)?;
         let tenant = find_tenant(plan, self.context)?;
         let home = plan.home_regions(route, tenant);
         let allowed = home.intersection(self.context.allowed(plan));
-        if contains_region(plan, allowed, &entry.parts.place.region) {
-            return Ok((route, allowed));
+        let at_home = contains_region(plan, allowed, &entry.parts.place.region);
+        if at_home || entry.parts.settings.forwards_home {
+            return Ok(Way {
+                service,
+                route,
+                allowed,
+            });
         }
         Err(Refusable {
             reason: Reason::Region,
-            addresses: addresses(situation, self.service, allowed),
+            addresses: addresses(situation, service, allowed),
         })
     }
+
+    fn route(
+        &self,
+        plan: &Plan,
+        entry: &Entry,
+        known: Option<key::Service>,
+    ) -> Result<(key::Route, key::Service), Reason> {
+        if plan.hosts.is_empty() {
+            let service = known.ok_or(Reason::UnknownService)?;
+            let route = plan.find_route(service, self.method, self.path);
+            return Ok((route.ok_or(Reason::UnknownRoute)?, service));
+        }
+        let host = self.host.ok_or(Reason::UnknownRoute)?;
+        let key = plan.find_hosted(host, self.path);
+        let key = key.ok_or(Reason::UnknownRoute)?;
+        let route = plan.route(key);
+        let kept = known.filter(|&service| route.leads_to(service));
+        let service = kept.unwrap_or_else(|| entry.router().target(route));
+        Ok((key, service))
+    }
 }
 
 /// Refuses what nodes and backend servers could read in two ways.
@@ -203,27 +258,15 @@
 
 /// Host without port.
 fn host(head: &Head) -> Option<&str> {
-    if let Some(host) = head.uri.host() {
-        return Some(host);
-    }
-    let field = head.headers.get(header::HOST)?.to_str().ok()?;
-    field.split(':').next()
+    head.uri.host().or_else(|| hop::host(&head.headers))
 }
 
-fn end_to_end(head: Head) -> HeaderMap {
+fn end_to_end(head: Head, dialect: &dyn Dialect, own: &str) -> HeaderMap {
     let authority = head.uri.authority().cloned();
     let mut fields = head.headers;
     hop::strip(&mut fields);
-    for name in [
-        headers::SERVICE,
-        headers::TENANT,
-        headers::DEADLINE_MS,
-        headers::HOPS,
-        headers::REGIONS,
-        header::EXPECT,
-    ] {
-        fields.remove(name);
-    }
+    fields.remove(header::EXPECT);
+    dialect.forward(&mut fields, own);
     let host = authority.and_then(|authority| HeaderValue::from_str(authority.as_str()).ok());
     if let Some(host) = host {
         fields.insert(header::HOST, host);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -25,6 +25,17 @@
     /// Time since the node's start before it takes calls with idempotency keys.
     /// Until nodes know each other, they would claim a key at different holders.
     pub keys_after: Duration,
+    /// Whether an entry outside the home regions of a call may send it there,
+    /// instead of naming addresses to the caller.
+    pub forwards_home: bool,
+    /// Whether a refusal by a gate leaves the retry budget alone. Such a call
+    /// has reached no backend server.
+    pub free_refusals: bool,
+    /// When a caller whose call was refused may come back.
+    pub retry_after: Duration,
+    /// Bytes of an answer to an idempotent call that are read before its head
+    /// is sent to the caller, so that a cut answer can be replaced.
+    pub held_answer_bytes: usize,
 }
 
 impl Default for Settings {
@@ -39,6 +50,10 @@
             connection_window_bytes: 4 * 1024 * 1024,
             max_attempts: 4,
             keys_after: Duration::ZERO,
+            forwards_home: false,
+            free_refusals: false,
+            retry_after: Duration::from_secs(1),
+            held_answer_bytes: 0,
         }
     }
 }
--- a/src/entry/tests/world.rs
+++ b/src/entry/tests/world.rs
@@ -18,6 +18,7 @@
 use crate::call::claim::Claims;
 use crate::call::{Admission, Event, Ids, Observer, Snapshot, Span};
 use crate::clock::Clock;
+use crate::dialect::Native;
 use crate::entry::{self, Entry, Parts};
 use crate::gate::{self, Gate};
 use crate::membership::{Epoch, Instance, Situation, State, View};
@@ -90,6 +91,7 @@
         idempotent: None,
         deadline: Duration::from_secs(50),
         second_copy: false,
+        terms: plan::Terms::default(),
     }
 }
 
@@ -105,6 +107,7 @@
         slots: 8,
         cold,
         routes,
+        upkeep: plan::Upkeep::default(),
     };
     let zone = |name: &str, region: u16| plan::Zone {
         name: name.into(),
@@ -239,7 +242,8 @@
         let client = backend::Http::new(backend_server, backend::Settings::default());
         let executor = Arc::new(Executor {
             place: place.clone(),
-            service: spec.service.into(),
+            server: Arc::new(backend::Current::fixed(spec.service)),
+            dialect: Arc::new(Native),
             situations: situations.clone(),
             admission: admission.clone(),
             client: Arc::new(client),
@@ -258,6 +262,7 @@
             executor: executor.clone(),
             links: Arc::new(Links::new(spec.peer, recorder.clone())),
             clock,
+            dialect: Arc::new(Native),
             observer: recorder.clone(),
             ids,
             settings: spec.entry,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod bench;
 pub mod call;
 pub mod clock;
+pub mod dialect;
 pub mod entry;
 pub mod error;
 pub mod gate;
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -11,10 +11,11 @@
 use super::listen::{Bound, Listeners};
 use super::observe::Telemetry;
 use super::report::Reporter;
-use crate::backend::{self, Executor, Http};
+use crate::backend::{self, Current, Executor, Http};
 use crate::call::claim::Claims;
 use crate::call::{Admission, Ids, Observer};
 use crate::clock::Clock;
+use crate::dialect::Native;
 use crate::entry::{self, Entry};
 use crate::gate::{self, Gate};
 use crate::membership::{self, Epoch, Handle, Instance, Member, State};
@@ -73,7 +74,8 @@
         ));
         let executor = Arc::new(Executor {
             place: place.clone(),
-            service: settings.service.clone(),
+            server: Arc::new(Current::fixed(&settings.service)),
+            dialect: Arc::new(Native),
             situations: Arc::new(handle.clone()),
             admission: Arc::clone(&admission),
             client: client.clone(),
@@ -94,6 +96,7 @@
             executor: Arc::clone(&executor),
             links,
             clock,
+            dialect: Arc::new(Native),
             observer,
             ids,
             settings: entry::Settings {
--- a/src/peer/upload.rs
+++ b/src/peer/upload.rs
@@ -93,6 +93,19 @@
         self.source.is_none() && self.replayable
     }
 
+    /// The same once more, when all of it is at hand.
+    #[must_use]
+    pub fn again(&self) -> Option<Self> {
+        self.is_whole().then(|| Self {
+            source: None,
+            kept: self.kept.clone(),
+            kept_bytes: self.kept_bytes,
+            trailers: self.trailers.clone(),
+            replayable: true,
+            held_back: self.held_back,
+        })
+    }
+
     /// Whether another attempt can send it from the start.
     #[must_use]
     pub const fn is_replayable(&self) -> bool {
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -9,6 +9,7 @@
 pub mod key;
 pub mod path;
 mod regions;
+mod terms;
 #[cfg(test)]
 mod tests;
 
@@ -20,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use regions::Regions;
+pub use terms::{Limits, Target, Terms, Upkeep};
 
 /// Number of an accepted sheet; each acceptance adds one. Zero means none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -55,6 +57,11 @@
     pub service_names: BTreeMap<String, key::Service>,
     /// Tenant keys by name.
     pub tenant_names: BTreeMap<String, key::Tenant>,
+    /// Routes by host, longest path first. Where there are any, they alone
+    /// decide which route a request takes.
+    pub hosts: BTreeMap<String, Vec<key::Route>>,
+    /// Bounds on callers, where the plan states them.
+    pub limits: Option<Limits>,
 }
 
 /// A region: availability zones joined by fast links.
@@ -86,6 +93,8 @@
     pub cold: Cold,
     /// Routes of the service, longest path first.
     pub routes: Vec<key::Route>,
+    /// How its backend servers are looked after.
+    pub upkeep: Upkeep,
 }
 
 /// How much work a backend server may take while it warms.
@@ -129,6 +138,8 @@
     pub deadline: Duration,
     /// Whether a second copy of an idempotent call may run.
     pub second_copy: bool,
+    /// How far a call may go.
+    pub terms: Terms,
 }
 
 impl Plan {
@@ -178,6 +189,31 @@
             .find(|&key| self.route(key).matches(method, &path))
     }
 
+    /// The route that a request for `service` takes.
+    #[must_use]
+    pub fn find(
+        &self,
+        service: key::Service,
+        host: Option<&str>,
+        method: &Method,
+        path: &str,
+    ) -> Option<key::Route> {
+        if self.hosts.is_empty() {
+            return self.find_route(service, method, path);
+        }
+        let found = self.find_hosted(host?, path)?;
+        self.route(found).leads_to(service).then_some(found)
+    }
+
+    /// Most specific route of `host` for `path`.
+    #[must_use]
+    pub fn find_hosted(&self, host: &str, path: &str) -> Option<key::Route> {
+        let routes = self.hosts.get(host)?;
+        let path = path.split(['?', '#']).next().unwrap_or_default();
+        let covers = |key: &key::Route| path.starts_with(&self.route(*key).path);
+        routes.iter().copied().find(covers)
+    }
+
     /// Regions that may serve and store a call of `route` for `tenant`.
     #[must_use]
     pub fn home_regions(&self, route: key::Route, tenant: Option<key::Tenant>) -> Regions {
@@ -196,6 +232,16 @@
         method_matches && has_segments(path, &self.path)
     }
 
+    /// Whether calls of the route may go to `service`.
+    #[must_use]
+    pub fn leads_to(&self, service: key::Service) -> bool {
+        if self.terms.targets.is_empty() {
+            return self.service == service;
+        }
+        let mut targets = self.terms.targets.iter();
+        targets.any(|target| target.service == service)
+    }
+
     /// Whether a call of this route may run more than once (RFC 9110, 9.2.2).
     #[must_use]
     pub fn is_idempotent(&self, method: &Method) -> bool {
--- a/src/plan/tests/lookup.rs
+++ b/src/plan/tests/lookup.rs
@@ -2,7 +2,7 @@
 
 use http::Method;
 
-use crate::plan::{Cold, Plan, Regions, Route, Service, key};
+use crate::plan::{Cold, Plan, Regions, Route, Service, Terms, Upkeep, key};
 
 fn route(path: &str, method: Option<Method>) -> Route {
     Route {
@@ -15,6 +15,7 @@
         idempotent: None,
         deadline: Duration::from_secs(1),
         second_copy: false,
+        terms: Terms::default(),
     }
 }
 
@@ -29,6 +30,7 @@
                 step_time: Duration::from_secs(1),
             },
             routes: vec![key::Route(0), key::Route(1)],
+            upkeep: Upkeep::default(),
         }],
         routes: vec![
             route("/orders/drafts", Some(Method::POST)),
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -72,6 +72,15 @@
     /// Backend servers remembered.
     pub const CAPACITY: usize = 4;
 
+    /// Nobody was tried yet.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            backends: [None; Self::CAPACITY],
+            next: 0,
+        }
+    }
+
     /// Adds `backend` in place of the oldest one.
     pub fn insert(&mut self, backend: key::Backend) {
         self.backends[self.next] = Some(backend);
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::call::Reason;
 use crate::clock::Time;
 use crate::gate::Load;
 use crate::membership::Situation;
+use crate::plan::{Route, key};
 
 use super::bucket::Bucket;
 use super::candidates::{Candidate, Draw};
@@ -88,6 +89,23 @@
         })
     }
 
+    /// Picks one of the services that share the calls of `route`, by weight.
+    pub fn target(&mut self, route: &Route) -> key::Service {
+        let targets = &route.terms.targets;
+        let total: u32 = targets.iter().map(|target| target.weight).sum();
+        if total == 0 {
+            return route.service;
+        }
+        let mut drawn = self.random.random_range(0..total);
+        for target in targets {
+            if drawn < target.weight {
+                return target.service;
+            }
+            drawn -= target.weight;
+        }
+        route.service
+    }
+
     /// Takes in what became of a call. Events for a vanished backend server are
     /// ignored.
     pub fn observe(&mut self, now: Time, backend: Backend, event: &Event) {
--- a/src/routing/tests/harness.rs
+++ b/src/routing/tests/harness.rs
@@ -4,7 +4,7 @@
 use crate::clock::Time;
 use crate::gate::Load;
 use crate::membership::{Epoch, Instance, Situation, State, View};
-use crate::plan::{Cold, Plan, Region, Regions, Service, Version, Zone, key};
+use crate::plan::{Cold, Plan, Region, Regions, Service, Upkeep, Version, Zone, key};
 use crate::routing::{Ask, Avoid, Choice, Event, Place, Router, Settings};
 
 pub(super) const SLOTS: u32 = 8;
@@ -39,6 +39,7 @@
                 step_time: Duration::from_secs(1),
             },
             routes: Vec::new(),
+            upkeep: Upkeep::default(),
         }],
         region_names: (0_u16..)
             .zip(REGIONS)
--- a/src/sheet/compile.rs
+++ b/src/sheet/compile.rs
@@ -54,6 +54,7 @@
                     step_time: millis(service.warm_step_ms),
                 },
                 routes: Vec::new(),
+                upkeep: plan::Upkeep::default(),
             });
         }
         Row::Tenant(tenant) => {
@@ -78,6 +79,7 @@
                 idempotent: route.idempotent,
                 deadline: millis(route.deadline_ms),
                 second_copy: route.second_copy,
+                terms: plan::Terms::default(),
             });
         }
     }
