--- a/src/backend/current.rs
+++ b/src/backend/current.rs
@@ -1,6 +1,7 @@
 //! The process that is the backend server now.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwapOption;
 
@@ -15,7 +16,10 @@
 
 /// The backend server beside this node, if there is one that takes work.
 #[derive(Debug, Default)]
-pub struct Current(ArcSwapOption<Server>);
+pub struct Current {
+    server: ArcSwapOption<Server>,
+    misdirected: AtomicBool,
+}
 
 impl Current {
     /// A backend server that stays the same.
@@ -25,13 +29,16 @@
             service: service.to_owned(),
             process: None,
         };
-        Self(ArcSwapOption::from_pointee(server))
+        Self {
+            server: ArcSwapOption::from_pointee(server),
+            misdirected: AtomicBool::new(false),
+        }
     }
 
     /// The one that takes work now.
     #[must_use]
     pub fn get(&self) -> Option<Arc<Server>> {
-        self.0.load_full()
+        self.server.load_full()
     }
 
     /// Another process answered at its address, so it is gone.
@@ -39,11 +46,17 @@
         let known = self.get();
         if known.is_some_and(|server| server.process.is_some()) {
             self.set(None);
+            self.misdirected.store(true, Ordering::Relaxed);
         }
     }
 
+    /// Whether another process has answered since the last question.
+    pub fn take_misdirected(&self) -> bool {
+        self.misdirected.swap(false, Ordering::Relaxed)
+    }
+
     /// Replaces it.
     pub fn set(&self, server: Option<Server>) {
-        self.0.store(server.map(Arc::new));
+        self.server.store(server.map(Arc::new));
     }
 }
--- a/src/backend/http.rs
+++ b/src/backend/http.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Gives up the idle connections, which lead to a process that is gone.
+    pub fn forget(&self) {
+        self.pool.clear();
+    }
+
     async fn lease(&self, fresh: bool) -> Result<Box<dyn Connection>, Unreachable> {
         let max_idle = if fresh {
             self.settings.max_idle_fresh
@@ -122,6 +127,20 @@
     }
 }
 
+/// Share of the time stated by the backend server in which a connection is used
+/// again; the rest covers the way of a request.
+const KEPT_SHARE: f64 = 0.8;
+
+/// Time in `Keep-Alive: timeout=`, with a margin.
+fn kept_alive(headers: &http::HeaderMap) -> Option<Duration> {
+    let field = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = field
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    let seconds: u32 = timeout.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds.into()).mul_f64(KEPT_SHARE))
+}
+
 struct Leased {
     sender: SendRequest<Body>,
     pool: Arc<Pool>,
@@ -151,10 +170,12 @@
     }
 
     fn answer(self, response: Response<Incoming>) -> Response<Body> {
+        let kept = kept_alive(response.headers());
         response.map(|incoming| {
             Answer {
                 incoming,
                 reuse: Some((self.sender, self.pool)),
+                kept,
             }
             .end_if_empty()
             .boxed_unsync()
@@ -181,6 +202,8 @@
 struct Answer {
     incoming: Incoming,
     reuse: Option<(SendRequest<Body>, Arc<Pool>)>,
+    /// Time for which the backend server keeps the idle connection.
+    kept: Option<Duration>,
 }
 
 impl Answer {
@@ -193,7 +216,7 @@
 
     fn release(&mut self) {
         if let Some((sender, pool)) = self.reuse.take() {
-            pool.give_back(sender);
+            pool.give_back(sender, self.kept);
         }
     }
 }
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -10,6 +10,7 @@
 mod executor;
 mod http;
 mod pool;
+pub mod registry;
 mod watch;
 
 pub use client::{Client, Connection, Failure, Unreachable};
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -20,6 +20,7 @@
 struct Idle {
     sender: SendRequest<Body>,
     since: Instant,
+    kept: Option<Duration>,
 }
 
 impl Pool {
@@ -34,6 +35,7 @@
     pub(super) fn take(&self, max_idle: Duration) -> Option<SendRequest<Body>> {
         let mut idle = self.lock();
         while let Some(last) = idle.pop() {
+            let max_idle = last.kept.map_or(max_idle, |kept| kept.min(max_idle));
             let old = last.since.elapsed() >= max_idle;
             if !old && last.sender.is_ready() {
                 return Some(last.sender);
@@ -43,27 +45,38 @@
     }
 
     /// Keeps a connection as soon as its last exchange has ended.
-    pub(super) fn give_back(self: &Arc<Self>, mut sender: SendRequest<Body>) {
+    /// `kept` is the time for which the other side keeps it.
+    pub(super) fn give_back(
+        self: &Arc<Self>,
+        mut sender: SendRequest<Body>,
+        kept: Option<Duration>,
+    ) {
         match sender.ready().now_or_never() {
-            Some(Ok(())) => self.keep(sender),
+            Some(Ok(())) => self.keep(sender, kept),
             Some(Err(_)) => {}
             None => {
                 let pool = Arc::clone(self);
                 tokio::spawn(async move {
                     if sender.ready().await.is_ok() {
-                        pool.keep(sender);
+                        pool.keep(sender, kept);
                     }
                 });
             }
         }
     }
 
-    fn keep(&self, sender: SendRequest<Body>) {
+    /// Closes all idle connections.
+    pub(super) fn clear(&self) {
+        self.lock().clear();
+    }
+
+    fn keep(&self, sender: SendRequest<Body>, kept: Option<Duration>) {
         let mut idle = self.lock();
         if idle.len() < self.capacity {
             idle.push(Idle {
                 sender,
                 since: Instant::now(),
+                kept,
             });
         }
     }
--- /dev/null
+++ b/src/backend/registry/mod.rs
@@ -0,0 +1,320 @@
+//! Keeps gate, connections and announcement in step with a backend server that
+//! reports to its node.
+//!
+//! [`Presence`] decides which process is the backend server. The acknowledgement
+//! of a leaving process and the closing of its gate are one step, so nothing
+//! reaches the process through this node after it.
+
+mod presence;
+#[cfg(test)]
+mod tests;
+
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, Empty};
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::call::{Admission, Cut, Situations};
+use crate::dialect::{Dialect, Health};
+use crate::gate::{self, Sign};
+use crate::membership::direct::{Announcement, Departed, Member};
+use crate::membership::{Instance, State};
+use crate::plan::{Cold, Plan};
+
+use super::{Client, Current, Http};
+
+pub use presence::{Known, Presence, Reaction, Report};
+
+/// How a backend server is looked after.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Time between two questions to the health endpoint.
+    pub probe_interval: Duration,
+    /// Longest time one may take.
+    pub probe_timeout: Duration,
+    /// Gate of a backend server, before it and its plan say more.
+    pub gate: gate::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            probe_interval: Duration::from_millis(250),
+            probe_timeout: Duration::from_millis(500),
+            gate: gate::Settings::default(),
+        }
+    }
+}
+
+/// What a registry acts on.
+pub struct Parts {
+    /// This node as it is announced while its backend server takes work.
+    pub instance: Instance,
+    /// Where the backend server listens.
+    pub address: std::net::SocketAddr,
+    /// The process that takes work.
+    pub server: Arc<Current>,
+    /// Its gate.
+    pub admission: Arc<Admission>,
+    /// Connections to it.
+    pub client: Arc<Http>,
+    /// Its headers.
+    pub dialect: Arc<dyn Dialect>,
+    /// Announcement of this node.
+    pub member: Arc<Member>,
+    /// How it is looked after.
+    pub settings: Settings,
+}
+
+/// Looks after the backend server beside this node.
+pub struct Registry {
+    parts: Parts,
+    state: Mutex<Shelf>,
+}
+
+struct Shelf {
+    presence: Presence,
+    /// What was passed on last.
+    passed: Option<Known>,
+    stopping: bool,
+}
+
+impl fmt::Debug for Registry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Registry").finish_non_exhaustive()
+    }
+}
+
+impl Registry {
+    /// A registry that knows nothing yet.
+    #[must_use]
+    pub fn new(parts: Parts) -> Arc<Self> {
+        let presence = Presence::new(parts.address);
+        Arc::new(Self {
+            parts,
+            state: Mutex::new(Shelf {
+                presence,
+                passed: None,
+                stopping: false,
+            }),
+        })
+    }
+
+    /// Takes in a report of a backend server.
+    pub fn report(&self, report: &Report) -> Reaction {
+        let mut state = self.lock();
+        let reaction = state.presence.report(report);
+        if reaction == Reaction::Accepted {
+            self.settle(&mut state);
+            self.parts.admission.sign(Sign::ColdFor(report.cold_for));
+        } else {
+            log::debug!(
+                "report {} of {} is {}",
+                report.sequence,
+                report.process,
+                reaction.as_str()
+            );
+        }
+        reaction
+    }
+
+    /// Takes in that a process leaves; closes its gate before it returns.
+    pub fn leave(&self, process: &str, born_ms: Option<u64>) -> Reaction {
+        let mut state = self.lock();
+        let reaction = state.presence.leave(process, born_ms, unix_ms());
+        self.settle(&mut state);
+        reaction
+    }
+
+    /// Announces that this node leaves, and takes no further report up.
+    pub fn stop(&self) {
+        let mut state = self.lock();
+        state.stopping = true;
+        self.announce(&state);
+    }
+
+    /// Puts the settings of the plan in force at the gate.
+    pub fn take_up(&self, plan: &Plan) {
+        let state = self.lock();
+        if let Some(known) = state.presence.known() {
+            self.configure(plan, known);
+        }
+    }
+
+    /// Asks the health endpoint until dropped.
+    pub async fn run(self: Arc<Self>, situations: Arc<dyn Situations>) {
+        if let Some(previous) = self.parts.member.previous().await
+            && let Some(departed) = previous.departed
+        {
+            let mut state = self.lock();
+            state.presence.recall(departed);
+            self.settle(&mut state);
+        }
+        loop {
+            if self.parts.server.take_misdirected() {
+                let mut state = self.lock();
+                state.presence.misdirected();
+                self.settle(&mut state);
+            }
+            let plan = Arc::clone(&situations.situation().plan);
+            if let Some(path) = self.health_path(&plan)
+                && let Some(health) = self.probe(&path).await
+            {
+                self.probed(&plan, &health);
+            }
+            sleep(self.parts.settings.probe_interval).await;
+        }
+    }
+
+    /// A process that leaves is asked nothing more.
+    fn health_path(&self, plan: &Plan) -> Option<String> {
+        let state = self.lock();
+        let known = state.presence.known();
+        if known.is_some_and(|known| known.leaving) {
+            return None;
+        }
+        let service = known.map_or(&self.parts.instance.service, |known| &known.service);
+        let key = plan.service_names.get(service)?;
+        plan.service(*key).upkeep.health_path.clone()
+    }
+
+    async fn probe(&self, path: &str) -> Option<Health> {
+        let body = Empty::new().map_err(|_| Cut::Withdrawn).boxed_unsync();
+        let mut request = Request::get(path).body(body).ok()?;
+        let host = HeaderValue::from_str(&self.parts.address.to_string()).ok()?;
+        request.headers_mut().insert(header::HOST, host);
+        let asking = async {
+            let connection = self.parts.client.connect(false).await.ok()?;
+            let response = connection.send(request).await.ok()?;
+            let (head, body) = response.into_parts();
+            body.collect().await.ok()?;
+            Some(self.parts.dialect.health(&head))
+        };
+        timeout(self.parts.settings.probe_timeout, asking)
+            .await
+            .ok()
+            .flatten()
+    }
+
+    fn probed(&self, plan: &Plan, health: &Health) {
+        let mut state = self.lock();
+        let service = &self.parts.instance.service;
+        let is_known = state.presence.probed(service, health);
+        self.settle(&mut state);
+        if !is_known {
+            return;
+        }
+        if let Some(known) = state.presence.known() {
+            self.configure(plan, known);
+        }
+        if let Some(time) = health.cold_for {
+            self.parts.admission.sign(Sign::ColdFor(time));
+        }
+        for &sign in &health.signs {
+            self.parts.admission.sign(sign);
+        }
+        self.parts.admission.sign(Sign::Reachable);
+    }
+
+    /// Passes on what has changed.
+    fn settle(&self, state: &mut Shelf) {
+        let known = state.presence.known().cloned();
+        if known == state.passed {
+            return;
+        }
+        let parts = &self.parts;
+        let is_new = |old: &Known| !is_same(old, known.as_ref());
+        if state.passed.as_ref().is_none_or(is_new) {
+            parts.client.forget();
+            if let Some(known) = &known {
+                parts.admission.sign(Sign::Boot(fingerprint(known)));
+            }
+        }
+        match &known {
+            Some(known) if known.leaving => {
+                parts.server.set(None);
+                parts.admission.sign(Sign::Draining);
+            }
+            Some(_) => parts.server.set(state.presence.server()),
+            None => parts.server.set(None),
+        }
+        log_change(state.passed.as_ref(), known.as_ref());
+        state.passed = known;
+        self.announce(state);
+    }
+
+    fn announce(&self, state: &Shelf) {
+        let departed: Option<Departed> = state.presence.last_departed().cloned();
+        let server = state.presence.server().filter(|_| !state.stopping);
+        let mut instance = self.parts.instance.clone();
+        instance.epoch = crate::membership::Epoch(unix_ms());
+        match server {
+            Some(server) => instance.service = server.service,
+            None => instance.state = State::Leaving,
+        }
+        self.parts
+            .member
+            .announce(Announcement { instance, departed });
+    }
+
+    fn configure(&self, plan: &Plan, known: &Known) {
+        let Some(&key) = plan.service_names.get(&known.service) else {
+            return;
+        };
+        let upkeep = &plan.service(key).upkeep;
+        self.parts.admission.configure(gate::Settings {
+            slots: known.slots,
+            cold: Cold {
+                allowance: known.slots,
+                steps: 1,
+                step_time: Duration::ZERO,
+            },
+            cold_per_s: upkeep.cold_per_s,
+            ..self.parts.settings.gate
+        });
+    }
+
+    /// Every step leaves the presence valid, so a panic elsewhere does too.
+    fn lock(&self) -> MutexGuard<'_, Shelf> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether `new` is the same process as `old`, maybe better known.
+fn is_same(old: &Known, new: Option<&Known>) -> bool {
+    new.is_some_and(|new| {
+        let same_start = old.born_ms.is_none() || old.born_ms == new.born_ms;
+        old.process == new.process && same_start
+    })
+}
+
+fn fingerprint(known: &Known) -> u64 {
+    xxh3_64(format!("{}@{:?}", known.process, known.born_ms).as_bytes())
+}
+
+fn log_change(old: Option<&Known>, new: Option<&Known>) {
+    match (old, new) {
+        (_, Some(new)) if new.leaving => {
+            log::info!("backend server {} leaves", new.process);
+        }
+        (Some(old), Some(new)) if is_same(old, Some(new)) && old.service == new.service => {}
+        (_, Some(new)) => log::info!(
+            "backend server {} of service {} takes work, {} at a time",
+            new.process,
+            new.service,
+            new.slots
+        ),
+        (Some(old), None) => log::warn!("backend server {} is gone", old.process),
+        (None, None) => {}
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |since| since.as_millis());
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/backend/registry/presence.rs
@@ -0,0 +1,258 @@
+//! Which process is the backend server, by its own word. Pure.
+//!
+//! Reports may come late, twice, or from a process that has ended. A process is
+//! told from another by its name and the time of its start; its reports are
+//! ordered by their number. One that said that it leaves is never used again.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::backend::Server;
+use crate::dialect::Health;
+use crate::membership::direct::Departed;
+
+/// Processes remembered as departed.
+const DEPARTED_MAX: usize = 16;
+/// Slots assumed of a process that was found by its health endpoint.
+const SLOTS_UNTOLD: u32 = 8;
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Name of the process.
+    pub process: String,
+    /// When it was started, in milliseconds since 1970.
+    pub born_ms: Option<u64>,
+    /// Number of the report; grows with each.
+    pub sequence: u64,
+    /// Service it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Calls it can run at the same time.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Time for which it will be cold.
+    pub cold_for: Duration,
+}
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reaction {
+    /// It is what this node believes now.
+    Accepted,
+    /// Something newer is known.
+    Outdated,
+    /// It is not of the backend server beside this node.
+    Foreign,
+}
+
+impl Reaction {
+    /// Name used in log lines.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Outdated => "outdated",
+            Self::Foreign => "foreign",
+        }
+    }
+}
+
+/// What is known of the backend server.
+#[derive(Debug)]
+pub struct Presence {
+    address: SocketAddr,
+    known: Option<Known>,
+    departed: VecDeque<Departed>,
+}
+
+/// One process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// Name of the process.
+    pub process: String,
+    /// When it was started, in milliseconds since 1970.
+    pub born_ms: Option<u64>,
+    /// Service it belongs to.
+    pub service: String,
+    /// Calls it can run at the same time.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    sequence: Option<u64>,
+}
+
+impl Presence {
+    /// Nothing is known of the backend server at `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            known: None,
+            departed: VecDeque::new(),
+        }
+    }
+
+    /// The process that is known, also while it leaves.
+    #[must_use]
+    pub const fn known(&self) -> Option<&Known> {
+        self.known.as_ref()
+    }
+
+    /// The process that takes work.
+    #[must_use]
+    pub fn server(&self) -> Option<Server> {
+        let known = self.known.as_ref().filter(|known| !known.leaving)?;
+        Some(Server {
+            service: known.service.clone(),
+            process: Some(known.process.clone()),
+        })
+    }
+
+    /// The process that departed last.
+    #[must_use]
+    pub fn last_departed(&self) -> Option<&Departed> {
+        self.departed.back()
+    }
+
+    /// Takes over what this node acknowledged before it was started again.
+    pub fn recall(&mut self, departed: Departed) {
+        let is_known = self.known.as_ref().is_some_and(|known| {
+            known.process == departed.process && is_same_start(known.born_ms, &departed)
+        });
+        if is_known && let Some(known) = &mut self.known {
+            known.leaving = true;
+        }
+        self.remember(departed);
+    }
+
+    /// Takes in a report.
+    pub fn report(&mut self, report: &Report) -> Reaction {
+        if report.address != self.address {
+            return Reaction::Foreign;
+        }
+        if self.has_departed(&report.process, report.born_ms) {
+            return if report.leaving {
+                Reaction::Accepted
+            } else {
+                Reaction::Outdated
+            };
+        }
+        if self
+            .known
+            .as_ref()
+            .is_some_and(|known| !known.precedes(report))
+        {
+            return Reaction::Outdated;
+        }
+        self.known = Some(Known {
+            process: report.process.clone(),
+            born_ms: report.born_ms,
+            service: report.service.clone(),
+            slots: report.slots,
+            leaving: report.leaving,
+            sequence: Some(report.sequence),
+        });
+        if report.leaving {
+            self.remember(Departed {
+                process: report.process.clone(),
+                born_ms: report.born_ms,
+            });
+        }
+        Reaction::Accepted
+    }
+
+    /// Takes in that `process` leaves. `now_ms` is the time of day, which bounds
+    /// the start of a process that did not say it.
+    pub fn leave(&mut self, process: &str, born_ms: Option<u64>, now_ms: u64) -> Reaction {
+        let known = self.known.as_mut().filter(|known| known.process == process);
+        let known_born = known.as_ref().and_then(|known| known.born_ms);
+        let older = |born: u64| known_born.is_some_and(|known| born < known);
+        if born_ms.is_some_and(older) {
+            return Reaction::Outdated;
+        }
+        if let Some(known) = known {
+            known.leaving = true;
+        }
+        self.remember(Departed {
+            process: process.to_owned(),
+            born_ms: Some(born_ms.or(known_born).unwrap_or(now_ms)),
+        });
+        Reaction::Accepted
+    }
+
+    /// Takes in an answer of the health endpoint. `service` is that of the
+    /// settings, for a process that has not reported yet. Tells whether the
+    /// answer is that of the known process.
+    pub fn probed(&mut self, service: &str, health: &Health) -> bool {
+        let Some(process) = &health.process else {
+            return false;
+        };
+        match &self.known {
+            Some(known) if known.process == *process => true,
+            Some(_) => {
+                // Its service is not known before it reports.
+                self.known = None;
+                false
+            }
+            None if health.healthy && !self.has_departed(process, None) => {
+                self.known = Some(Known {
+                    process: process.clone(),
+                    born_ms: None,
+                    service: service.to_owned(),
+                    slots: health.slots.unwrap_or(SLOTS_UNTOLD),
+                    leaving: false,
+                    sequence: None,
+                });
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Another process answered at the address.
+    pub fn misdirected(&mut self) {
+        self.known = None;
+    }
+
+    fn has_departed(&self, process: &str, born_ms: Option<u64>) -> bool {
+        self.departed
+            .iter()
+            .any(|departed| departed.process == process && is_same_start(born_ms, departed))
+    }
+
+    fn remember(&mut self, departed: Departed) {
+        self.departed
+            .retain(|known| known.process != departed.process);
+        if self.departed.len() == DEPARTED_MAX {
+            self.departed.pop_front();
+        }
+        self.departed.push_back(departed);
+    }
+}
+
+impl Known {
+    /// Whether `report` is newer than what is known.
+    fn precedes(&self, report: &Report) -> bool {
+        if let (Some(known), Some(born)) = (self.born_ms, report.born_ms)
+            && known != born
+        {
+            return known < born;
+        }
+        if self.process != report.process {
+            return true;
+        }
+        self.sequence.is_none_or(|known| known < report.sequence)
+    }
+}
+
+/// A name may be used again by a later start.
+fn is_same_start(born_ms: Option<u64>, departed: &Departed) -> bool {
+    match (born_ms, departed.born_ms) {
+        (Some(born), Some(departed)) => born <= departed,
+        _ => true,
+    }
+}
--- /dev/null
+++ b/src/backend/registry/tests.rs
@@ -0,0 +1,168 @@
+//! Which process is taken for the backend server.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{Presence, Reaction, Report};
+use crate::backend::Server;
+use crate::dialect::Health;
+use crate::membership::direct::Departed;
+
+const NOW_MS: u64 = 5_000;
+
+fn address() -> SocketAddr {
+    ([10, 0, 0, 1], 8080).into()
+}
+
+fn report(process: &str, born_ms: u64, sequence: u64) -> Report {
+    Report {
+        process: process.into(),
+        born_ms: Some(born_ms),
+        sequence,
+        service: "odber".into(),
+        address: address(),
+        slots: 9,
+        leaving: false,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn leaving(process: &str, born_ms: u64, sequence: u64) -> Report {
+    Report {
+        leaving: true,
+        ..report(process, born_ms, sequence)
+    }
+}
+
+fn health(process: &str) -> Health {
+    Health {
+        process: Some(process.into()),
+        healthy: true,
+        ..Health::default()
+    }
+}
+
+fn with(reports: &[Report]) -> Presence {
+    let mut presence = Presence::new(address());
+    for report in reports {
+        presence.report(report);
+    }
+    presence
+}
+
+fn process(presence: &Presence) -> Option<String> {
+    presence.server().and_then(|server: Server| server.process)
+}
+
+fn named(name: &str) -> Option<String> {
+    Some(name.to_owned())
+}
+
+fn left_stays_left() {
+    let mut presence = with(&[report("a", 1_000, 4)]);
+    assert_eq!(presence.leave("a", None, NOW_MS), Reaction::Accepted);
+    assert_eq!(presence.report(&report("a", 1_000, 5)), Reaction::Outdated);
+    assert_eq!(process(&presence), None);
+}
+
+fn name_used_again() {
+    let mut presence = with(&[report("a", 1_000, 4)]);
+    presence.leave("a", None, NOW_MS);
+    assert_eq!(presence.report(&report("a", 1_001, 1)), Reaction::Accepted);
+    assert_eq!(process(&presence), named("a"));
+}
+
+fn late_report_of_a_dead_process() {
+    let mut presence = with(&[report("a", 1_000, 4), report("b", 2_000, 1)]);
+    assert_eq!(presence.report(&report("a", 1_000, 5)), Reaction::Outdated);
+    assert_eq!(process(&presence), named("b"));
+}
+
+fn leave_of_an_earlier_start() {
+    let mut presence = with(&[report("a", 2_000, 1)]);
+    let reaction = presence.leave("a", Some(1_000), NOW_MS);
+    assert_eq!(reaction, Reaction::Outdated);
+    assert_eq!(process(&presence), named("a"));
+}
+
+fn promise_survives_a_restart() {
+    let mut presence = Presence::new(address());
+    presence.recall(Departed {
+        process: "a".into(),
+        born_ms: Some(1_000),
+    });
+    assert!(!presence.probed("odber", &health("a")));
+    assert_eq!(presence.report(&report("a", 1_000, 9)), Reaction::Outdated);
+    assert_eq!(process(&presence), None);
+}
+
+fn promise_is_recalled_late() {
+    let mut presence = Presence::new(address());
+    assert!(presence.probed("odber", &health("a")));
+    presence.recall(Departed {
+        process: "a".into(),
+        born_ms: Some(1_000),
+    });
+    assert_eq!(process(&presence), None);
+}
+
+fn unknown_process_that_leaves() {
+    let mut presence = Presence::new(address());
+    presence.leave("a", None, NOW_MS);
+    let late = report("a", 4_000, 3);
+    let anew = report("a", 6_000, 1);
+    assert_eq!(presence.report(&late), Reaction::Outdated);
+    assert_eq!(presence.report(&anew), Reaction::Accepted);
+}
+
+fn foreign_address() {
+    let mut presence = with(&[report("a", 1_000, 1)]);
+    let foreign = Report {
+        address: ([10, 0, 0, 2], 8080).into(),
+        ..report("b", 9_000, 1)
+    };
+    assert_eq!(presence.report(&foreign), Reaction::Foreign);
+    assert_eq!(process(&presence), named("a"));
+}
+
+fn other_process_at_the_address() {
+    let mut presence = with(&[report("a", 1_000, 1)]);
+    assert!(!presence.probed("odber", &health("b")));
+    assert_eq!(process(&presence), None);
+}
+
+fn service_changes_with_the_process() {
+    let other = Report {
+        service: "snuska".into(),
+        ..report("b", 2_000, 1)
+    };
+    let presence = with(&[report("a", 1_000, 1), other]);
+    let service = presence.server().map(|server| server.service);
+    assert_eq!(service.as_deref(), Some("snuska"));
+}
+
+cases! {
+    first_report_is_taken: assert_eq!(process(&with(&[report("a", 1_000, 1)])), named("a"));
+    older_report_changes_nothing: {
+        let mut presence = with(&[report("a", 1_000, 2)]);
+        assert_eq!(presence.report(&leaving("a", 1_000, 1)), Reaction::Outdated);
+        assert_eq!(process(&presence), named("a"));
+    };
+    leaving_process_takes_no_work:
+        assert_eq!(process(&with(&[report("a", 1_000, 1), leaving("a", 1_000, 2)])), None);
+    process_that_left_is_never_used_again: left_stays_left();
+    name_may_be_used_by_a_later_start: name_used_again();
+    late_report_of_a_dead_process_is_outdated: late_report_of_a_dead_process();
+    leave_of_an_earlier_start_is_outdated: leave_of_an_earlier_start();
+    acknowledged_leave_survives_a_restart: promise_survives_a_restart();
+    acknowledged_leave_may_be_recalled_late: promise_is_recalled_late();
+    late_report_after_an_unknown_leave_is_outdated: unknown_process_that_leaves();
+    report_of_another_address_is_foreign: foreign_address();
+    health_endpoint_shows_another_process: other_process_at_the_address();
+    address_may_change_its_service: service_changes_with_the_process();
+    misdirected_call_shows_that_the_process_is_gone: {
+        let mut presence = with(&[report("a", 1_000, 1)]);
+        presence.misdirected();
+        assert_eq!(process(&presence), None);
+    };
+}
--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -162,7 +162,13 @@
 
     fn update(&self, step: impl FnOnce(&mut Gate, Time, &mut Vec<Action>)) {
         let now = self.clock.now();
-        self.lock().run(|gate, actions| step(gate, now, actions));
+        let mut inner = self.lock();
+        inner.run(|gate, actions| step(gate, now, actions));
+        let waits = inner.gate.queued() > 0;
+        drop(inner);
+        if waits {
+            self.rescheduled.notify_one();
+        }
     }
 
     fn end(&self, ticket: Ticket, outcome: Outcome) {
--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -91,6 +91,8 @@
     pub healthy: bool,
     /// Time for which it will be cold.
     pub cold_for: Option<Duration>,
+    /// Calls it can run at the same time.
+    pub slots: Option<u32>,
     /// Signs besides.
     pub signs: Vec<Sign>,
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,6 +27,7 @@
 //!     dialect: Arc::new(monsooncove::dialect::Native),
 //!     observer,
 //!     ids: Arc::new(call::Ids::new(1)),
+//!     stopping: CancellationToken::new(),
 //!     settings: entry::Settings::default(),
 //! });
 //! let shutdown = CancellationToken::new();
@@ -57,6 +58,8 @@
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use tokio_util::sync::CancellationToken;
+
 use crate::backend::Executor;
 use crate::call::{Ids, Observer, Situations};
 use crate::clock::Clock;
@@ -89,6 +92,8 @@
     pub observer: Arc<dyn Observer>,
     /// Source of call and span ids.
     pub ids: Arc<Ids>,
+    /// Whether the node is stopping, so that callers are asked to connect elsewhere.
+    pub stopping: CancellationToken,
     /// Limits on callers.
     pub settings: Settings,
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::{HeaderValue, Response, Version, header};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -13,13 +14,17 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::call::Event;
+use crate::call::{Body, Event};
+use crate::plan::Limits;
 
 use super::{Entry, Settings};
 
 /// Pause after the system refuses to accept, for example for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Least buffer that hyper takes for the head of a request, in bytes.
+const MIN_HEAD_BYTES: usize = 8_192;
+
 /// Streams of HTTP/2 that may be reset before they are looked at.
 const MAX_PENDING_RESETS: usize = 64;
 
@@ -58,10 +63,11 @@
     if socket.set_nodelay(true).is_err() {
         return;
     }
-    let builder = builder(entry.parts.settings);
+    let limits = entry.parts.situations.situation().plan.limits;
+    let builder = builder(entry.parts.settings, limits);
     let service = service_fn(move |request: http::Request<Incoming>| {
         let entry = Arc::clone(&entry);
-        async move { Ok::<_, Infallible>(entry.serve(request).await) }
+        async move { Ok::<_, Infallible>(respond(&entry, request).await) }
     });
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
     let served = tokio::select! {
@@ -76,7 +82,24 @@
     }
 }
 
-fn builder(settings: Settings) -> Builder<TokioExecutor> {
+/// Answers one request. A caller of a stopping node is asked to connect elsewhere.
+async fn respond(entry: &Arc<Entry>, request: http::Request<Incoming>) -> Response<Body> {
+    let closes = request.version() <= Version::HTTP_11;
+    let mut response = entry.serve(request).await;
+    if closes && entry.parts.stopping.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// The plan's limits go before those of the settings.
+fn builder(settings: Settings, limits: Option<Limits>) -> Builder<TokioExecutor> {
+    let settings = limits.map_or(settings, |limits| Settings {
+        head_timeout: limits.idle_timeout.max(limits.head_timeout),
+        max_head_bytes: limits.max_head_bytes.max(MIN_HEAD_BYTES),
+        ..settings
+    });
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
--- a/src/entry/tests/world.rs
+++ b/src/entry/tests/world.rs
@@ -265,6 +265,7 @@
             dialect: Arc::new(Native),
             observer: recorder.clone(),
             ids,
+            stopping: CancellationToken::new(),
             settings: spec.entry,
         });
         let (callers, peers) = (listen().await, listen().await);
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -7,6 +7,7 @@
 use crate::call::Reason;
 use crate::clock::Time;
 
+use super::allowance::Allowance;
 use super::boots::Boots;
 use super::collapse::{self, Collapse};
 use super::life::{Drain, Phase};
@@ -15,6 +16,12 @@
 use super::queue::Queue;
 use super::{Action, Arrival, Load, Outcome, Settings, Sign, State, Ticket};
 
+/// A backend server that has not said for how long it is cold may be cold.
+const UNTIL_TOLD: Time = Time::from_micros(u64::MAX);
+
+/// Least slowness that is believed.
+const SLOWNESS_MIN: f64 = 0.1;
+
 /// Admission to one backend server.
 #[derive(Debug)]
 pub struct Gate {
@@ -22,6 +29,11 @@
     phase: Phase,
     says_cold: bool,
     zone_out_since: Option<Time>,
+    cold_until: Time,
+    allowance: Allowance,
+    /// When the cold allowance lets the next waiting call through.
+    allowed_at: Option<Time>,
+    slowness: f64,
     boots: Boots,
     collapse: Collapse,
     limit: Limit,
@@ -39,6 +51,10 @@
             phase: Phase::cold(),
             says_cold: false,
             zone_out_since: None,
+            cold_until: UNTIL_TOLD,
+            allowance: Allowance::default(),
+            allowed_at: None,
+            slowness: 1.0,
             boots: Boots::default(),
             collapse: Collapse::default(),
             limit: Limit::new(&settings, now),
@@ -97,6 +113,8 @@
         match sign {
             Sign::Boot(boot) => {
                 if self.boots.note(boot) {
+                    self.cold_until = UNTIL_TOLD;
+                    self.pause.succeeded();
                     self.transition(Phase::restarted);
                 }
             }
@@ -104,6 +122,11 @@
                 self.says_cold = true;
                 self.transition(Phase::fell);
             }
+            Sign::ColdFor(time) => self.cold_until = now + time,
+            Sign::Slowness(hundredths) => {
+                self.slowness = (f64::from(hundredths) / 100.0).max(SLOWNESS_MIN);
+            }
+            Sign::Reachable => self.pause.reached(),
             Sign::Serving => self.says_cold = false,
             Sign::Draining => {
                 self.transition(|phase| phase.drained(Drain::Announced, now));
@@ -116,8 +139,8 @@
 
     /// Takes over new settings.
     pub fn configure(&mut self, now: Time, settings: Settings, actions: &mut Vec<Action>) {
-        if settings.slots != self.settings.slots {
-            self.limit.reset(settings.slots);
+        if settings.usable_slots() != self.settings.usable_slots() {
+            self.limit.reset(settings.usable_slots());
         }
         self.settings = settings;
         self.pump(now, actions);
@@ -157,7 +180,8 @@
             .departure()
             .map(|at| at + self.settings.drain_queue_time);
         let times = [self.queue.first_deadline(), drain_end, self.pause.until()];
-        times.into_iter().flatten().min()
+        let times = times.into_iter().chain([self.allowed_at]);
+        times.flatten().min()
     }
 
     /// What entries are told.
@@ -167,7 +191,7 @@
             in_hand: self.in_hand(),
             queued: self.queued(),
             limit: self.limit(),
-            service_time: self.limit.service_time(),
+            service_time: self.limit.service_time().mul_f64(self.slowness),
             accepting: self.closed(now).is_none(),
         }
     }
@@ -193,7 +217,7 @@
     /// Calls that may be in hand.
     #[must_use]
     pub fn limit(&self) -> u32 {
-        let slots = self.settings.slots;
+        let slots = self.settings.usable_slots();
         let cap = self.phase.cap(self.settings.cold, slots);
         let adapted = self.limit.get(slots).min(cap);
         if self.pause.is_on_trial() {
@@ -222,10 +246,29 @@
         } else {
             (ahead - limit) / limit.max(1) + 1
         };
-        let expected = now + self.limit.service_time() * rounds;
+        let service_time = self.limit.service_time().mul_f64(self.slowness);
+        let expected = now + service_time * rounds;
+        let expected = expected.max(self.cold_turn(now, self.queue.ahead_of(arrival)));
         (arrival.deadline <= now || expected >= arrival.deadline).then_some(Reason::Deadline)
     }
 
+    /// When the cold allowance lets a call through that has `ahead` before it.
+    fn cold_turn(&self, now: Time, ahead: usize) -> Time {
+        match self.cold_rate(now) {
+            Some(per_s) => {
+                let turns = Duration::from_secs(1) * count(ahead) / per_s.max(1);
+                self.allowance.next(now, per_s) + turns
+            }
+            None => now,
+        }
+    }
+
+    /// Calls a second that may be admitted, while the backend server is cold.
+    fn cold_rate(&self, now: Time) -> Option<u32> {
+        let per_s = self.settings.cold_per_s;
+        per_s.filter(|_| now < self.cold_until)
+    }
+
     fn departure(&self) -> Option<Time> {
         let drained = self.phase.drain().map(|(_, since)| since);
         match (drained, self.zone_out_since) {
@@ -236,13 +279,14 @@
 
     fn answered(&mut self, now: Time, service_time: Duration) {
         let in_hand = self.in_hand();
+        let service_time = service_time.div_f64(self.slowness);
         let slowness = self.limit.slowness(service_time);
         let is_low = in_hand <= self.settings.slots / 2;
         if self.collapse.answered(now, slowness, is_low) {
             self.transition(Phase::fell);
         }
         self.limit
-            .answered(now, service_time, in_hand, self.settings.slots);
+            .answered(now, service_time, in_hand, self.settings.usable_slots());
         self.pause.succeeded();
         if !self.says_cold && !collapse::is_slow(slowness) {
             let cold = self.settings.cold;
@@ -261,6 +305,7 @@
         if !self.pause.is_closed(now) {
             self.pause.begin(now, &self.settings);
         }
+        self.pause.lost();
         self.transition(Phase::fell);
         self.refuse_queue(Reason::Unreachable, actions);
     }
@@ -277,16 +322,33 @@
     /// Drops what cannot finish, admits what fits, notes an end of the drain.
     fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.expire(now, actions);
+        self.allowed_at = None;
         while self.in_hand() < self.limit() && !self.pause.is_closed(now) {
+            if !self.allows(now) {
+                break;
+            }
             let Some(ticket) = self.queue.pop_first() else {
                 break;
             };
+            self.allowance.note(now);
             self.running.insert(ticket, now);
             actions.push(Action::Admit(ticket));
         }
         self.settle_empty();
     }
 
+    /// Whether the cold allowance lets one more call through now.
+    fn allows(&mut self, now: Time) -> bool {
+        let Some(per_s) = self.cold_rate(now) else {
+            return true;
+        };
+        let next = self.allowance.next(now, per_s);
+        if next > now {
+            self.allowed_at = Some(next);
+        }
+        next <= now
+    }
+
     fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
         while let Some(ticket) = self.queue.pop_late(now) {
             actions.push(Action::Refuse(ticket, Reason::Deadline));
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -6,6 +6,7 @@
 //! here.
 
 mod admission;
+mod allowance;
 mod boots;
 mod collapse;
 mod life;
@@ -76,8 +77,14 @@
     Boot(u64),
     /// It says that it is cold.
     Cold,
+    /// It says for how long it will be cold; zero when it is not.
+    ColdFor(Duration),
+    /// Work takes this many hundredths of its usual time now.
+    Slowness(u32),
     /// It says that it is serving.
     Serving,
+    /// It takes connections.
+    Reachable,
     /// It says that it is draining.
     Draining,
     /// Its health endpoint fails.
--- a/src/gate/pause.rs
+++ b/src/gate/pause.rs
@@ -12,6 +12,7 @@
     failures: u32,
     until: Option<Time>,
     length: Duration,
+    unreachable: bool,
 }
 
 impl Pause {
@@ -29,6 +30,18 @@
         self.until
     }
 
+    /// No connection could be made.
+    pub(super) const fn lost(&mut self) {
+        self.unreachable = true;
+    }
+
+    /// A connection was made; ends a pause that began for want of one.
+    pub(super) fn reached(&mut self) {
+        if self.unreachable {
+            self.succeeded();
+        }
+    }
+
     pub(super) fn succeeded(&mut self) {
         *self = Self::default();
     }
--- a/src/gate/settings.rs
+++ b/src/gate/settings.rs
@@ -11,6 +11,12 @@
     pub slots: u32,
     /// How much work the backend server may take while it is cold.
     pub cold: plan::Cold,
+    /// Calls a second that the backend server may take while it is cold, beside
+    /// the bound on concurrent calls.
+    pub cold_per_s: Option<u32>,
+    /// Share of the slots that is used. Backend servers that slow down when they
+    /// are nearly full do more with less.
+    pub fill: f64,
     /// Calls that may wait.
     pub queue_capacity: usize,
     /// Service time assumed before the first answer.
@@ -27,6 +33,16 @@
     pub pause_max: Duration,
 }
 
+impl Settings {
+    /// Slots that are used, at least one.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Bounded by the slots.
+    pub fn usable_slots(&self) -> u32 {
+        let usable = f64::from(self.slots) * self.fill.clamp(0.0, 1.0);
+        (usable as u32).max(1)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
@@ -36,6 +52,8 @@
                 steps: 4,
                 step_time: Duration::from_secs(1),
             },
+            cold_per_s: None,
+            fill: 1.0,
             queue_capacity: 32,
             initial_service_time: Duration::from_millis(10),
             drain_queue_time: Duration::from_secs(1),
--- /dev/null
+++ b/src/gate/tests/allowance.rs
@@ -0,0 +1,111 @@
+//! The calls a second of a cold backend server.
+
+use std::time::Duration;
+
+use super::harness::{Harness, settings};
+use crate::gate::{Settings, Sign};
+
+const PER_S: u32 = 5;
+
+/// Calls take no time, so only the allowance holds them back.
+fn admitted(harness: &mut Harness, calls: usize) -> usize {
+    let mut admitted = 0;
+    for _ in 0..calls {
+        let ticket = harness.arrive(1);
+        if harness.admitted(ticket) {
+            harness.answer(ticket, 0);
+            admitted += 1;
+        }
+    }
+    admitted
+}
+
+fn cold() -> Harness {
+    Harness::new(Settings {
+        cold_per_s: Some(PER_S),
+        queue_capacity: 0,
+        ..settings()
+    })
+}
+
+fn told(millis: u64) -> Harness {
+    let mut harness = cold();
+    harness.sign(Sign::ColdFor(Duration::from_millis(millis)));
+    harness
+}
+
+fn every_second() {
+    let mut harness = cold();
+    let first = admitted(&mut harness, 20);
+    harness.pass(990);
+    let early = admitted(&mut harness, 20);
+    harness.pass(20);
+    let second = admitted(&mut harness, 20);
+    assert_eq!((first, early, second), (5, 0, 5));
+}
+
+fn ends_when_told() {
+    let mut harness = told(500);
+    assert_eq!(admitted(&mut harness, 20), 5);
+    harness.pass(501);
+    assert_eq!(admitted(&mut harness, 20), 20);
+}
+
+fn counts_calls_before_the_cold() {
+    let mut harness = told(0);
+    assert_eq!(admitted(&mut harness, 20), 20);
+    harness.sign(Sign::ColdFor(Duration::from_secs(3)));
+    assert_eq!(admitted(&mut harness, 20), 0);
+}
+
+fn waiting_call_is_let_through() {
+    let mut harness = Harness::new(Settings {
+        cold_per_s: Some(1),
+        ..settings()
+    });
+    let first = harness.arrive_within(1, 5_000);
+    harness.answer(first, 0);
+    let second = harness.arrive_within(1, 5_000);
+    assert!(!harness.admitted(second));
+    let due = harness.gate.next_tick().expect("the allowance is due");
+    harness.pass(
+        due.since(harness.now)
+            .as_millis()
+            .try_into()
+            .expect("short"),
+    );
+    assert!(harness.admitted(second));
+}
+
+fn hopeless_call_is_refused_at_once() {
+    let mut harness = Harness::new(Settings {
+        cold_per_s: Some(1),
+        ..settings()
+    });
+    let first = harness.arrive_within(1, 5_000);
+    harness.answer(first, 0);
+    let second = harness.arrive_within(1, 500);
+    assert!(harness.refused(second).is_some());
+}
+
+fn slowness_is_told() {
+    let mut harness = Harness::serving();
+    let usual = harness.gate.load(harness.now).service_time;
+    harness.sign(Sign::Slowness(500));
+    assert_eq!(harness.gate.load(harness.now).service_time, usual * 5);
+}
+
+cases! {
+    cold_backend_server_gets_its_rate_every_second: every_second();
+    rate_ends_when_the_cold_does: ends_when_told();
+    calls_before_the_cold_count: counts_calls_before_the_cold();
+    waiting_call_is_let_through_when_its_turn_comes: waiting_call_is_let_through();
+    call_whose_turn_comes_too_late_is_refused_at_once: hopeless_call_is_refused_at_once();
+    new_process_may_be_cold: {
+        let mut harness = told(0);
+        harness.sign(Sign::Boot(1));
+        harness.sign(Sign::Boot(2));
+        assert_eq!(admitted(&mut harness, 20), 5);
+    };
+    load_tells_how_slow_work_is_now: slowness_is_told();
+}
--- a/src/gate/tests/mod.rs
+++ b/src/gate/tests/mod.rs
@@ -1,4 +1,5 @@
 mod admission;
+mod allowance;
 mod failures;
 mod harness;
 mod invariants;
--- /dev/null
+++ b/src/membership/direct/announcer.rs
@@ -0,0 +1,169 @@
+//! Keeps this node's announcement in the store, under a lease.
+//!
+//! Each write expects the revision of the one before, so that a write that the
+//! store carries out late cannot undo a newer one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until};
+
+use super::{Announcement, Settings, Shared, State};
+use crate::membership::Id;
+use crate::store::{self, Client, Expect, Lease, Outcome, Write, WriteId};
+
+/// Keeps one announcement.
+pub(super) struct Announcer<C> {
+    settings: Settings,
+    client: Arc<C>,
+    shared: Arc<Shared>,
+    desired: watch::Receiver<Option<Announcement>>,
+    lease: Option<Lease>,
+    expect: Expect,
+    written: Option<Announcement>,
+    pause: Duration,
+    rng: ChaCha8Rng,
+}
+
+impl<C: Client> Announcer<C> {
+    pub(super) fn new(
+        settings: Settings,
+        client: Arc<C>,
+        shared: Arc<Shared>,
+        desired: watch::Receiver<Option<Announcement>>,
+    ) -> Self {
+        let seed = settings.seed ^ Id::of(&settings.name).0 ^ 2;
+        Self {
+            pause: settings.retry_min,
+            settings,
+            client,
+            shared,
+            desired,
+            lease: None,
+            expect: Expect::Absent,
+            written: None,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    pub(super) async fn run(mut self, mut departures: mpsc::Receiver<oneshot::Sender<()>>) {
+        let shared = Arc::clone(&self.shared);
+        let mut due = Instant::now();
+        loop {
+            tokio::select! {
+                Some(done) = departures.recv() => {
+                    self.withdraw().await;
+                    // Whoever waited may have given up.
+                    let _ = done.send(());
+                    return;
+                }
+                changed = self.desired.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                () = shared.lost.notified() => self.written = None,
+                () = sleep_until(due) => self.renew_due().await,
+            }
+            due = self.settle().await;
+        }
+    }
+
+    /// Brings the store up to date; tells when to come back.
+    async fn settle(&mut self) -> Instant {
+        match self.write_if_needed().await {
+            Ok(()) => {
+                self.pause = self.settings.retry_min;
+                Instant::now() + self.settings.renewal
+            }
+            Err(error) => {
+                log::debug!("cannot announce this node: {error}");
+                let pause = self.pause.mul_f64(self.rng.random_range(0.5..=1.0));
+                self.pause = (self.pause * 2).min(self.settings.retry_max);
+                Instant::now() + pause
+            }
+        }
+    }
+
+    async fn renew_due(&mut self) {
+        let Some(lease) = self.lease else {
+            return;
+        };
+        match self.client.renew(lease).await {
+            Ok(true) => {}
+            Ok(false) => self.forget_lease(),
+            // The write that follows tells whether the store is there.
+            Err(error) => log::debug!("cannot renew the lease: {error}"),
+        }
+    }
+
+    fn forget_lease(&mut self) {
+        self.lease = None;
+        self.written = None;
+    }
+
+    async fn write_if_needed(&mut self) -> store::Result<()> {
+        let Some(desired) = self.desired.borrow_and_update().clone() else {
+            return Ok(());
+        };
+        if self.written.as_ref() == Some(&desired) {
+            return Ok(());
+        }
+        self.write(desired).await
+    }
+
+    async fn write(&mut self, desired: Announcement) -> store::Result<()> {
+        let lease = match self.lease {
+            Some(lease) => lease,
+            None => self.client.grant(self.settings.ttl).await?,
+        };
+        self.lease = Some(lease);
+        let value = serde_json::to_string(&desired).map_err(|error| store::Error::Refused {
+            cause: error.to_string(),
+        })?;
+        let write = Write {
+            key: format!("{}{}", self.settings.prefix, self.settings.name),
+            value: Some(value),
+            expect: self.expect,
+            lease: Some(lease),
+            id: WriteId(self.rng.random()),
+        };
+        match self.client.write(write).await {
+            Ok(Outcome::Applied(revision)) => {
+                self.expect = Expect::Revision(revision);
+                self.written = Some(desired);
+                Ok(())
+            }
+            Ok(Outcome::NotApplied(record)) => {
+                self.expect =
+                    record.map_or(Expect::Absent, |record| Expect::Revision(record.revision));
+                Err(store::Error::Refused {
+                    cause: "the announcement in the store is another one".to_owned(),
+                })
+            }
+            Ok(Outcome::Unknown) => Err(store::Error::Refused {
+                cause: "the announcement may not have been written".to_owned(),
+            }),
+            Err(error) => {
+                self.forget_lease();
+                Err(error)
+            }
+        }
+    }
+
+    /// Peers are told by the state, and by the deletion if they missed it.
+    async fn withdraw(&mut self) {
+        let desired = self.desired.borrow().clone();
+        let Some(mut announcement) = desired else {
+            return;
+        };
+        announcement.instance.state = State::Leaving;
+        if let Err(error) = self.write(announcement).await {
+            log::warn!("the announcement is not withdrawn: {error}; its lease will lapse");
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/direct/follower.rs
@@ -0,0 +1,101 @@
+//! Follows one prefix of the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use tokio::time::sleep;
+
+use super::{Settings, Shared};
+use crate::membership::Id;
+use crate::store::{self, Client, Revision, Watched};
+
+/// What is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Subject {
+    Plans,
+    Nodes,
+}
+
+impl Subject {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Plans => "plans",
+            Self::Nodes => "announcements",
+        }
+    }
+}
+
+/// Follows one prefix.
+pub(super) struct Follower<C> {
+    pub(super) prefix: String,
+    pub(super) spacing: Duration,
+    pub(super) settings: Settings,
+    pub(super) client: Arc<C>,
+    pub(super) shared: Arc<Shared>,
+    pub(super) subject: Subject,
+}
+
+impl<C: Client> Follower<C> {
+    /// Lists once, then watches; lists again only when history was lost.
+    pub(super) async fn run(self) {
+        let seed = self.settings.seed ^ Id::of(&self.settings.name).0 ^ self.subject as u64;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut position = None;
+        let mut pause = self.settings.retry_min;
+        let mut lost = false;
+        loop {
+            match self.step(position).await {
+                Ok(next) => {
+                    if lost {
+                        log::info!("the store tells {} again", self.subject.as_str());
+                    }
+                    lost = false;
+                    pause = self.settings.retry_min;
+                    position = next;
+                    sleep(self.spacing).await;
+                }
+                Err(error) => {
+                    if !lost {
+                        log::warn!("the store tells no {}: {error}", self.subject.as_str());
+                    }
+                    lost = true;
+                    sleep(pause.mul_f64(rng.random_range(0.5..=1.0))).await;
+                    pause = (pause * 2).min(self.settings.retry_max);
+                }
+            }
+        }
+    }
+
+    /// Where to go on; nothing when the history is lost.
+    async fn step(&self, position: Option<Revision>) -> store::Result<Option<Revision>> {
+        let Some(after) = position else {
+            let listing = self.client.list(&self.prefix).await?;
+            let revision = listing.revision;
+            match self.subject {
+                Subject::Plans => self.shared.plans_listed(listing),
+                Subject::Nodes => self.shared.nodes_listed(listing),
+            }
+            return Ok(Some(revision));
+        };
+        let wait = self.settings.watch_wait;
+        let watched = self.client.watch(&self.prefix, after, wait).await?;
+        let Watched::Changes { revision, changes } = watched else {
+            return Ok(None);
+        };
+        if revision < after {
+            return Err(store::Error::Refused {
+                cause: "its answer is older than one before".to_owned(),
+            });
+        }
+        if !changes.is_empty() {
+            match self.subject {
+                Subject::Plans => self.shared.plans_changed(revision, changes),
+                Subject::Nodes => self.shared.nodes_changed(changes),
+            }
+        }
+        Ok(Some(revision))
+    }
+}
--- /dev/null
+++ b/src/membership/direct/tests/mod.rs
@@ -0,0 +1,2 @@
+mod ledger;
+mod roster;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod core;
 pub mod delta;
+pub mod direct;
 mod driver;
 mod follower;
 mod handle;
--- a/src/node/follow.rs
+++ b/src/node/follow.rs
@@ -4,19 +4,21 @@
 
 use crate::call::Admission;
 use crate::clock::Clock;
-use crate::gate;
 use crate::membership::{Handle, Situation};
 use crate::plan::{Plan, Version};
 use crate::routing::Router;
 use crate::telemetry::log::Identity;
 
+/// Puts a plan in force at the gate.
+pub type Configure = Box<dyn Fn(&Plan) + Send + Sync>;
+
 /// Follows the situation.
 pub struct Follower {
     pub handle: Handle,
     pub router: Arc<Mutex<Router>>,
     pub admission: Arc<Admission>,
     pub clock: Clock,
-    pub service: String,
+    pub configure: Configure,
     pub zone: String,
     pub identity: Identity,
 }
@@ -44,14 +46,7 @@
     fn take_up(&self, plan: &Plan, before: Followed) -> Followed {
         self.identity.set_plan(plan.version);
         let in_service = is_in_service(plan, &self.zone);
-        if let Some(settings) = gate_settings(plan, &self.service) {
-            self.admission.configure(settings);
-        } else {
-            log::warn!(
-                "service {} is not in the plan; this backend server gets no work",
-                self.service
-            );
-        }
+        (self.configure)(plan);
         self.admission.set_zone(in_service);
         log::info!("plan {} in force", plan.version);
         if before.in_service != Some(in_service) {
@@ -77,13 +72,3 @@
     let key = plan.zone_names.get(zone);
     key.is_some_and(|&key| plan.zone(key).in_service)
 }
-
-fn gate_settings(plan: &Plan, service: &str) -> Option<gate::Settings> {
-    let &key = plan.service_names.get(service)?;
-    let service = plan.service(key);
-    Some(gate::Settings {
-        slots: service.slots,
-        cold: service.cold,
-        ..gate::Settings::default()
-    })
-}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,9 +7,11 @@
 
 mod control;
 mod follow;
+pub mod hosted;
 mod listen;
 mod observe;
 mod parts;
+mod path;
 mod ready;
 mod report;
 mod stop;
@@ -28,6 +30,7 @@
 use listen::Listeners;
 use parts::Running;
 
+pub use path::Tuning;
 pub use ready::Ready;
 pub use stop::Stop;
 
@@ -90,16 +93,16 @@
     control: &Control,
     grace: Duration,
 ) -> Stop {
-    log::info!("stopping: {} calls in hand", running.in_hand());
-    running.admission.drain();
+    log::info!("stopping: {} calls in hand", running.path.in_hand());
+    running.path.admission.drain();
     let member = running.member.clone();
     let leaving = control.runtime().spawn(async move { member.leave().await });
     if timeout(LEAVE_TIMEOUT, leaving).await.is_err() {
         log::warn!("the announcement could not be withdrawn in time; its lease will lapse");
     }
     tokio::time::sleep(LINGER).await;
-    let admission = running.admission.clone();
-    let mut finished = std::pin::pin!(timeout(grace, running.finish()));
+    let admission = running.path.admission.clone();
+    let mut finished = std::pin::pin!(timeout(grace, running.path.finish()));
     let mut warned = false;
     let stop = loop {
         tokio::select! {
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -1,27 +1,25 @@
 //! The parts of a running node and how they are joined.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use super::control::Control;
-use super::follow::Follower;
+use super::follow::Configure;
 use super::listen::{Bound, Listeners};
 use super::observe::Telemetry;
+use super::path::{Blueprint, Path, Tuning, spawn_until};
 use super::report::Reporter;
-use crate::backend::{self, Current, Executor, Http};
-use crate::call::claim::Claims;
-use crate::call::{Admission, Ids, Observer};
+use crate::backend::{self, Current, Http};
+use crate::call::{Admission, Ids};
 use crate::clock::Clock;
 use crate::dialect::Native;
-use crate::entry::{self, Entry};
+use crate::entry;
 use crate::gate::{self, Gate};
 use crate::membership::{self, Epoch, Handle, Instance, Member, State};
-use crate::peer::{self, Links};
 use crate::plan::{Plan, Version};
-use crate::routing::{self, Place, Router};
+use crate::routing::Place;
 use crate::telemetry::log::Identity;
 use crate::telemetry::metric::Metrics;
 use crate::telemetry::trace::Tracer;
@@ -31,11 +29,8 @@
 pub struct Running {
     /// Announcement, view and plan.
     pub member: Arc<Member>,
-    /// Gate of the backend server.
-    pub admission: Arc<Admission>,
-    serving: CancellationToken,
-    upkeep: CancellationToken,
-    servers: Vec<JoinHandle<()>>,
+    /// Entry, links and gate.
+    pub path: Path,
 }
 
 impl Running {
@@ -49,11 +44,9 @@
         tracer: Tracer,
     ) -> Result<Self> {
         let clock = Clock::start();
-        let serving = CancellationToken::new();
-        let upkeep = CancellationToken::new();
-        let place = place(&settings);
         let gate = Gate::new(gate::Settings::default(), clock.now());
         let admission = Admission::new(gate, clock);
+        let upkeep = CancellationToken::new();
         let member = join(
             &settings,
             listeners.bound,
@@ -64,104 +57,81 @@
         )
         .await?;
         let handle = member.handle();
-        let telemetry = Telemetry::new(metrics.clone(), tracer);
-        let observer: Arc<dyn Observer> = Arc::new(telemetry);
+        let observer = Arc::new(Telemetry::new(metrics.clone(), tracer));
         let ids = Ids::new(fresh_seed(&settings)).keep_per_10k(settings.trace_per_10k);
-        let ids = Arc::new(ids);
         let client = Arc::new(Http::new(
             settings.backend_server,
             backend::Settings::default(),
         ));
-        let executor = Arc::new(Executor {
-            place: place.clone(),
-            server: Arc::new(Current::fixed(&settings.service)),
-            dialect: Arc::new(Native),
-            situations: Arc::new(handle.clone()),
-            admission: Arc::clone(&admission),
-            client: client.clone(),
-            clock,
-            observer: Arc::clone(&observer),
-            ids: Arc::clone(&ids),
-            claims: Claims::default(),
-        });
-        let router = Router::new(routing::Settings::default(), place.clone(), settings.seed);
-        let router = Arc::new(Mutex::new(router));
-        let peer_settings = peer::Settings::default();
-        let links = Arc::new(Links::new(peer_settings, Arc::clone(&observer)));
-        let entry = Entry::new(entry::Parts {
-            place,
-            service: settings.service.clone(),
-            situations: Arc::new(handle.clone()),
-            router: Arc::clone(&router),
-            executor: Arc::clone(&executor),
-            links,
-            clock,
-            dialect: Arc::new(Native),
-            observer,
-            ids,
-            settings: entry::Settings {
-                keys_after: membership::Settings::default().announcement_spread * 2,
-                ..entry::Settings::default()
+        let path = Path::start(
+            Blueprint {
+                place: place(&settings),
+                service: settings.service.clone(),
+                handle: handle.clone(),
+                admission: Arc::clone(&admission),
+                server: Arc::new(Current::fixed(&settings.service)),
+                client: client.clone(),
+                dialect: Arc::new(Native),
+                configure: configure(Arc::clone(&admission), settings.service.clone()),
+                clock,
+                observer,
+                ids: Arc::new(ids),
+                seed: settings.seed,
+                identity: identity.clone(),
+                tuning: tuning(),
             },
-        });
-        let follower = Follower {
-            handle: handle.clone(),
-            router,
-            admission: Arc::clone(&admission),
-            clock,
-            service: settings.service.clone(),
-            zone: settings.zone.clone(),
-            identity: identity.clone(),
-        };
+            listeners.caller,
+            listeners.peer,
+        );
         let reporter = Reporter {
             handle,
             admission: Arc::clone(&admission),
             metrics,
             cpu: control.reading(),
         };
-        spawn_until(&upkeep, follower.run());
-        spawn_until(&upkeep, reporter.run());
-        tokio::spawn(Arc::clone(&admission).run(upkeep.clone()));
+        spawn_until(&path.upkeep, reporter.run());
         tokio::spawn(backend::watch(
             backend::Watch::default(),
             client,
-            Arc::clone(&admission),
-            upkeep.clone(),
-        ));
-        let servers = vec![
-            tokio::spawn(entry::serve(listeners.caller, entry, serving.clone())),
-            tokio::spawn(peer::serve(
-                listeners.peer,
-                executor,
-                peer_settings,
-                serving.clone(),
-            )),
-        ];
-        Ok(Self {
-            member,
             admission,
-            serving,
-            upkeep,
-            servers,
-        })
+            path.upkeep.clone(),
+        ));
+        tokio::spawn(end_together(path.upkeep.clone(), upkeep));
+        Ok(Self { member, path })
     }
+}
 
-    /// Calls that run or wait at the gate.
-    pub fn in_hand(&self) -> u32 {
-        self.admission.in_hand() + self.admission.queued()
-    }
+/// Membership is started first and ends with the rest.
+async fn end_together(path: CancellationToken, membership: CancellationToken) {
+    path.cancelled().await;
+    membership.cancel();
+}
 
-    /// Takes no new connections, finishes every call and ends.
-    pub async fn finish(self) {
-        self.serving.cancel();
-        for server in self.servers {
-            // A panic of a server has been printed already.
-            let _ = server.await;
-        }
-        self.upkeep.cancel();
+fn tuning() -> Tuning {
+    Tuning {
+        entry: entry::Settings {
+            keys_after: membership::Settings::default().announcement_spread * 2,
+            ..entry::Settings::default()
+        },
+        ..Tuning::default()
     }
 }
 
+fn configure(admission: Arc<Admission>, service: String) -> Configure {
+    Box::new(move |plan| {
+        let Some(&key) = plan.service_names.get(&service) else {
+            log::warn!("service {service} is not in the plan; this backend server gets no work");
+            return;
+        };
+        let service = plan.service(key);
+        admission.configure(gate::Settings {
+            slots: service.slots,
+            cold: service.cold,
+            ..gate::Settings::default()
+        });
+    })
+}
+
 fn place(settings: &Settings) -> Place {
     Place {
         instance: settings.instance.clone(),
@@ -230,16 +200,6 @@
     Ok(sheet.plan(version))
 }
 
-fn spawn_until(shutdown: &CancellationToken, work: impl Future<Output = ()> + Send + 'static) {
-    let shutdown = shutdown.clone();
-    tokio::spawn(async move {
-        tokio::select! {
-            () = work => {}
-            () = shutdown.cancelled() => {}
-        }
-    });
-}
-
 /// The situation as the data path asks for it.
 impl crate::call::Situations for Handle {
     fn situation(&self) -> Arc<membership::Situation> {
--- /dev/null
+++ b/src/node/path.rs
@@ -0,0 +1,164 @@
+//! The data path of one node: entry, links, gate, and what follows the plan.
+
+use std::sync::{Arc, Mutex};
+
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use super::follow::{Configure, Follower};
+use crate::backend::{Client, Current, Executor};
+use crate::call::claim::Claims;
+use crate::call::{Admission, Ids, Observer};
+use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::entry::{self, Entry};
+use crate::membership::Handle;
+use crate::peer::{self, Links};
+use crate::routing::{self, Place, Router};
+use crate::telemetry::log::Identity;
+
+/// What a data path is made of.
+pub struct Blueprint {
+    /// Where the node runs.
+    pub place: Place,
+    /// Service beside the entry.
+    pub service: String,
+    /// Plan in force and instances known.
+    pub handle: Handle,
+    /// Gate of the backend server.
+    pub admission: Arc<Admission>,
+    /// The backend server.
+    pub server: Arc<Current>,
+    /// Connections to it.
+    pub client: Arc<dyn Client>,
+    /// Headers of callers and backend servers.
+    pub dialect: Arc<dyn Dialect>,
+    /// Puts a plan in force at the gate.
+    pub configure: Configure,
+    /// Clock of the node.
+    pub clock: Clock,
+    /// Metrics, traces and log lines of calls.
+    pub observer: Arc<dyn Observer>,
+    /// Source of call and span ids.
+    pub ids: Arc<Ids>,
+    /// Seed of routing decisions.
+    pub seed: u64,
+    /// Name of the node in log lines.
+    pub identity: Identity,
+    /// How it behaves.
+    pub tuning: Tuning,
+}
+
+/// Settings of the slices on the data path.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tuning {
+    /// Of the entry.
+    pub entry: entry::Settings,
+    /// Of the links.
+    pub peer: peer::Settings,
+    /// Of the router.
+    pub routing: routing::Settings,
+}
+
+/// A data path that serves.
+#[derive(Debug)]
+pub struct Path {
+    /// Gate of the backend server.
+    pub admission: Arc<Admission>,
+    /// Cancelled when callers are to be asked to connect elsewhere.
+    pub stopping: CancellationToken,
+    /// Cancelled when all that the node does ends.
+    pub upkeep: CancellationToken,
+    serving: CancellationToken,
+    servers: Vec<JoinHandle<()>>,
+}
+
+impl Path {
+    /// Starts to serve callers and other nodes.
+    pub fn start(blueprint: Blueprint, callers: TcpListener, peers: TcpListener) -> Self {
+        let Blueprint { tuning, place, .. } = blueprint;
+        let upkeep = CancellationToken::new();
+        let serving = CancellationToken::new();
+        let stopping = CancellationToken::new();
+        let handle = blueprint.handle;
+        let zone = place.zone.clone();
+        let executor = Arc::new(Executor {
+            place: place.clone(),
+            server: blueprint.server,
+            dialect: Arc::clone(&blueprint.dialect),
+            situations: Arc::new(handle.clone()),
+            admission: Arc::clone(&blueprint.admission),
+            client: blueprint.client,
+            clock: blueprint.clock,
+            observer: Arc::clone(&blueprint.observer),
+            ids: Arc::clone(&blueprint.ids),
+            claims: Claims::default(),
+        });
+        let router = Router::new(tuning.routing, place.clone(), blueprint.seed);
+        let router = Arc::new(Mutex::new(router));
+        let links = Links::new(tuning.peer, Arc::clone(&blueprint.observer));
+        let entry = Entry::new(entry::Parts {
+            place,
+            service: blueprint.service,
+            situations: Arc::new(handle.clone()),
+            router: Arc::clone(&router),
+            executor: Arc::clone(&executor),
+            links: Arc::new(links),
+            clock: blueprint.clock,
+            dialect: blueprint.dialect,
+            observer: blueprint.observer,
+            ids: blueprint.ids,
+            stopping: stopping.clone(),
+            settings: tuning.entry,
+        });
+        let follower = Follower {
+            handle,
+            router,
+            admission: Arc::clone(&blueprint.admission),
+            clock: blueprint.clock,
+            configure: blueprint.configure,
+            zone,
+            identity: blueprint.identity,
+        };
+        spawn_until(&upkeep, follower.run());
+        tokio::spawn(Arc::clone(&blueprint.admission).run(upkeep.clone()));
+        let servers = vec![
+            tokio::spawn(entry::serve(callers, entry, serving.clone())),
+            tokio::spawn(peer::serve(peers, executor, tuning.peer, serving.clone())),
+        ];
+        Self {
+            admission: blueprint.admission,
+            stopping,
+            upkeep,
+            serving,
+            servers,
+        }
+    }
+
+    /// Calls that run or wait at the gate.
+    pub fn in_hand(&self) -> u32 {
+        self.admission.in_hand() + self.admission.queued()
+    }
+
+    /// Takes no new connections, finishes every call and ends.
+    pub async fn finish(self) {
+        self.serving.cancel();
+        for server in self.servers {
+            // A panic of a server has been printed already.
+            let _ = server.await;
+        }
+        self.upkeep.cancel();
+    }
+}
+
+/// Runs `work` until `shutdown`.
+pub fn spawn_until(shutdown: &CancellationToken, work: impl Future<Output = ()> + Send + 'static) {
+    let shutdown = shutdown.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = work => {}
+            () = shutdown.cancelled() => {}
+        }
+    });
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -34,7 +34,7 @@
 pub use settings::Settings;
 
 /// Where a router runs.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Place {
     /// Name of the instance.
     pub instance: String,
--- a/src/store/http/mod.rs
+++ b/src/store/http/mod.rs
@@ -1,10 +1,13 @@
-//! The store over HTTP/1.1 with JSON bodies, as docs/STORE.md describes it.
+//! The store over HTTP/1.1. Its [`Protocol`] may be [`Json`], as docs/STORE.md
+//! describes it, or that of a platform.
 //!
 //! A call is tried again only when it certainly had no effect, or when it has
 //! none by its kind. A write whose answer is lost is reported as unknown.
 
 mod backoff;
 mod budget;
+mod json;
+pub mod protocol;
 #[cfg(test)]
 mod tests;
 
@@ -13,23 +16,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::Uri;
+use http::uri::{Authority, Scheme};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::time::{sleep, timeout};
 
-use super::{
-    Client, Error, Lease, Listing, Outcome, Record, Result, Revision, Watched, Write, protocol,
-};
+use super::{Client, Error, Lease, Listing, Outcome, Record, Result, Revision, Watched, Write};
 
 use backoff::Backoff;
 use budget::Budget;
+use protocol::{Answer, Call, Failure, Page, Protocol, refused};
+
+pub use json::Json;
 
 /// Largest answer that is read, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 64 * 1024 * 1024;
@@ -53,6 +56,8 @@
     pub calls_per_second: f64,
     /// Calls the node may make at once after a quiet time.
     pub burst_calls: f64,
+    /// Time without a sign of life after which a connection is given up.
+    pub silence_limit: Duration,
     /// Seed of the jitter.
     pub seed: u64,
 }
@@ -67,6 +72,7 @@
             backoff_limit: Duration::from_secs(1),
             calls_per_second: 12.0,
             burst_calls: 24.0,
+            silence_limit: Duration::from_secs(2),
             seed: 0,
         }
     }
@@ -74,9 +80,10 @@
 
 /// Client of one store.
 #[derive(Debug)]
-pub struct Http {
+pub struct Http<P = Json> {
     address: SocketAddr,
     settings: Settings,
+    protocol: P,
     pool: Pool<HttpConnector, Full<Bytes>>,
     pace: Mutex<Pace>,
 }
@@ -87,36 +94,23 @@
     rng: ChaCha8Rng,
 }
 
-/// How one attempt failed.
-enum Failure {
-    /// The request certainly had no effect.
-    NoEffect(Error),
-    /// The request may have had its effect.
-    Unknown(Error),
-    /// The store answered that it will not do it.
-    Final(Error),
-}
-
-impl From<Failure> for Error {
-    fn from(failure: Failure) -> Self {
-        match failure {
-            Failure::NoEffect(error) | Failure::Unknown(error) | Failure::Final(error) => error,
-        }
-    }
-}
-
 impl Http {
     /// A client of the store at `address`.
     #[must_use]
     pub fn new(address: SocketAddr, settings: Settings) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(settings.connect_timeout));
+        Self::with_protocol(address, settings, Json)
+    }
+}
+
+impl<P: Protocol> Http<P> {
+    /// A client of a store that speaks `protocol`.
+    #[must_use]
+    pub fn with_protocol(address: SocketAddr, settings: Settings, protocol: P) -> Self {
         let pool = Pool::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(30))
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(connector(&settings));
         let pace = Pace {
             budget: Budget::new(settings.calls_per_second, settings.burst_calls),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
@@ -124,21 +118,17 @@
         Self {
             address,
             settings,
+            protocol,
             pool,
             pace: Mutex::new(pace),
         }
     }
 
     /// Makes a call that changes nothing, or nothing but what it may change twice.
-    async fn read<Q: Serialize, A: DeserializeOwned>(
-        &self,
-        path: &str,
-        question: &Q,
-        limit: Duration,
-    ) -> Result<A> {
+    async fn read(&self, call: &Call<'_>) -> Result<Answer> {
         let mut backoff = self.backoff();
         loop {
-            match self.attempt(path, question, limit).await {
+            match self.attempt(call).await {
                 Ok(answer) => return Ok(answer),
                 Err(Failure::Final(error)) => return Err(error),
                 Err(Failure::NoEffect(error) | Failure::Unknown(error)) => {
@@ -148,27 +138,24 @@
         }
     }
 
-    async fn attempt<Q: Serialize, A: DeserializeOwned>(
-        &self,
-        path: &str,
-        question: &Q,
-        limit: Duration,
-    ) -> std::result::Result<A, Failure> {
+    async fn attempt(&self, call: &Call<'_>) -> std::result::Result<Answer, Failure> {
         if !self.pace().budget.take() {
             return Err(Failure::Final(Error::Budget));
         }
-        let body = serde_json::to_vec(question).map_err(|error| Failure::Final(refused(&error)))?;
-        match timeout(limit, self.exchange(path, body)).await {
-            Ok(answer) => decode(&answer?),
+        let limit = match call {
+            Call::Watch { wait, .. } => *wait + WATCH_GRACE,
+            _ => self.settings.attempt_timeout,
+        };
+        match timeout(limit, self.exchange(call)).await {
+            Ok(answer) => answer,
             Err(_) => Err(Failure::Unknown(self.unreachable("no answer in time"))),
         }
     }
 
-    async fn exchange(&self, path: &str, body: Vec<u8>) -> std::result::Result<Bytes, Failure> {
-        let request = Request::post(format!("http://{}{path}", self.address))
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|error| Failure::Final(refused(&error)))?;
+    async fn exchange(&self, call: &Call<'_>) -> std::result::Result<Answer, Failure> {
+        let (mut head, body) = self.protocol.request(call)?.into_parts();
+        head.uri = self.target(&head.uri)?;
+        let request = http::Request::from_parts(head, Full::new(body));
         let response = self.pool.request(request).await.map_err(|error| {
             let cause = self.unreachable(&error.to_string());
             if error.is_connect() {
@@ -183,12 +170,17 @@
             .await
             .map_err(|error| Failure::Unknown(self.unreachable(&error.to_string())))?
             .to_bytes();
-        match status {
-            StatusCode::OK => Ok(answer),
-            StatusCode::TOO_MANY_REQUESTS => Err(Failure::NoEffect(refused(&status))),
-            _ if status.is_client_error() => Err(Failure::Final(refused(&status))),
-            _ => Err(Failure::Unknown(refused(&status))),
-        }
+        self.protocol.answer(call, status, &answer)
+    }
+
+    /// The whole target, as the pool finds connections by it.
+    fn target(&self, target: &Uri) -> std::result::Result<Uri, Failure> {
+        let mut parts = target.clone().into_parts();
+        parts.scheme = Some(Scheme::HTTP);
+        let authority = Authority::try_from(self.address.to_string());
+        let broken = |error: &dyn std::fmt::Display| Failure::Final(refused(error));
+        parts.authority = Some(authority.map_err(|error| broken(&error))?);
+        Uri::from_parts(parts).map_err(|error| broken(&error))
     }
 
     /// Waits before the next attempt; nothing when none is left.
@@ -216,35 +208,57 @@
             cause: cause.to_owned(),
         }
     }
+
+    async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page> {
+        match self.read(&Call::List { prefix, after }).await? {
+            Answer::Page(page) => Ok(page),
+            other => Err(unexpected(&other)),
+        }
+    }
+}
+
+/// A connection that falls silent shows only by probes of the system.
+fn connector(settings: &Settings) -> HttpConnector {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(settings.connect_timeout));
+    connector.set_keepalive(Some(settings.silence_limit / 2));
+    connector.set_keepalive_interval(Some(settings.silence_limit / 2));
+    connector.set_keepalive_retries(Some(2));
+    connector
+}
+
+/// An answer to another kind of call is a fault of the protocol.
+fn unexpected(answer: &Answer) -> Error {
+    refused(&format!("its answer does not fit the call: {answer:?}"))
 }
 
-impl Client for Http {
+impl<P: Protocol> Client for Http<P> {
     async fn get(&self, key: &str) -> Result<Option<Record>> {
-        let question = protocol::Get { key: key.into() };
-        let limit = self.settings.attempt_timeout;
-        let got: protocol::Got = self.read(protocol::GET, &question, limit).await?;
-        Ok(got.record)
+        match self.read(&Call::Get { key }).await? {
+            Answer::Record(record) => Ok(record),
+            other => Err(unexpected(&other)),
+        }
     }
 
+    /// Pages are no snapshot; with the revision of the first, a watch that
+    /// continues from it misses nothing.
     async fn list(&self, prefix: &str) -> Result<Listing> {
-        let question = protocol::List {
-            prefix: prefix.into(),
-        };
-        let limit = self.settings.attempt_timeout;
-        self.read(protocol::LIST, &question, limit).await
+        let mut page = self.page(prefix, None).await?;
+        let mut listing = page.listing;
+        while let Some(after) = page.next {
+            page = self.page(prefix, Some(&after)).await?;
+            listing.records.append(&mut page.listing.records);
+        }
+        Ok(listing)
     }
 
     async fn write(&self, write: Write) -> Result<Outcome> {
-        let limit = self.settings.attempt_timeout;
         let mut backoff = self.backoff();
         loop {
-            let answer = self.attempt(protocol::WRITE, &write, limit).await;
-            match answer {
-                Ok(protocol::Written::Applied(revision)) => return Ok(Outcome::Applied(revision)),
-                Ok(protocol::Written::NotApplied(record)) => {
-                    return Ok(Outcome::NotApplied(record));
-                }
-                Err(Failure::Unknown(_)) => return Ok(Outcome::Unknown),
+            match self.attempt(&Call::Write(&write)).await {
+                Ok(Answer::Written(outcome)) => return Ok(outcome),
+                Ok(_) | Err(Failure::Unknown(_)) => return Ok(Outcome::Unknown),
                 Err(Failure::Final(error)) => return Err(error),
                 Err(Failure::NoEffect(error)) => {
                     self.wait(&mut backoff).await.ok_or(error)?;
@@ -254,48 +268,35 @@
     }
 
     async fn grant(&self, ttl: Duration) -> Result<Lease> {
-        let question = protocol::Grant {
-            ttl_ms: millis(ttl),
-        };
-        let limit = self.settings.attempt_timeout;
-        Ok(self.attempt(protocol::GRANT, &question, limit).await?)
+        match self.attempt(&Call::Grant { ttl }).await? {
+            Answer::Granted(lease) => Ok(lease),
+            other => Err(unexpected(&other)),
+        }
     }
 
     async fn renew(&self, lease: Lease) -> Result<bool> {
-        let question = protocol::Renew { lease };
-        let limit = self.settings.attempt_timeout;
-        let renewed: protocol::Renewed = self.attempt(protocol::RENEW, &question, limit).await?;
-        Ok(renewed.alive)
+        match self.attempt(&Call::Renew { lease }).await? {
+            Answer::Renewed(alive) => Ok(alive),
+            other => Err(unexpected(&other)),
+        }
     }
 
     async fn revoke(&self, lease: Lease) -> Result<()> {
-        let question = protocol::Revoke { lease };
-        let limit = self.settings.attempt_timeout;
-        self.read(protocol::REVOKE, &question, limit).await
+        match self.read(&Call::Revoke { lease }).await? {
+            Answer::Revoked => Ok(()),
+            other => Err(unexpected(&other)),
+        }
     }
 
     async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched> {
-        let question = protocol::Watch {
-            prefix: prefix.into(),
+        let call = Call::Watch {
+            prefix,
             after,
-            wait_ms: millis(wait),
+            wait,
         };
-        Ok(self
-            .attempt(protocol::WATCH, &question, wait + WATCH_GRACE)
-            .await?)
-    }
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn refused(cause: &dyn std::fmt::Display) -> Error {
-    Error::Refused {
-        cause: cause.to_string(),
+        match self.attempt(&call).await? {
+            Answer::Watched(watched) => Ok(watched),
+            other => Err(unexpected(&other)),
+        }
     }
 }
-
-fn decode<A: DeserializeOwned>(answer: &[u8]) -> std::result::Result<A, Failure> {
-    serde_json::from_slice(answer).map_err(|error| Failure::Unknown(refused(&error)))
-}
--- a/src/telemetry/log/mod.rs
+++ b/src/telemetry/log/mod.rs
@@ -11,13 +11,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use log::LevelFilter;
-use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::console::ConsoleAppender;
 use log4rs::config::{Appender, Config, Logger, Root};
 
 use crate::plan::Version;
 use crate::settings::LogFormat;
 
 pub use line::Encoder;
+pub use log4rs::append::console::Target;
 
 const APPENDER: &str = "stderr";
 
@@ -63,9 +64,23 @@
 ///
 /// Fails when the process logs already.
 pub fn init(identity: Identity, level: LevelFilter, format: LogFormat) -> crate::Result<()> {
+    init_to(Target::Stderr, identity, level, format)
+}
+
+/// Starts logging for the whole process, to `target`.
+///
+/// # Errors
+///
+/// Fails when the process logs already.
+pub fn init_to(
+    target: Target,
+    identity: Identity,
+    level: LevelFilter,
+    format: LogFormat,
+) -> crate::Result<()> {
     let encoder = Encoder { identity, format };
     let appender = ConsoleAppender::builder()
-        .target(Target::Stderr)
+        .target(target)
         .encoder(Box::new(encoder))
         .build();
     let root = Root::builder().appender(APPENDER).build(level);
