--- a/src/call/situations.rs
+++ b/src/call/situations.rs
@@ -1,10 +1,13 @@
 //! Where the data path reads the plan in force and the instances known.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 
 use crate::membership::Situation;
+use crate::membership::direct::Bulletin;
+use crate::plan::Version;
 
 /// Source of the newest [`Situation`]; cheap to ask for every call.
 pub trait Situations: Send + Sync + 'static {
@@ -13,6 +16,15 @@
 
     /// Takes note that the link to `instance` is dead.
     fn suspect(&self, instance: &str);
+
+    /// Takes note of the plan of the node that serves other nodes at `node`.
+    fn heard(&self, _node: SocketAddr, _version: Version) {}
+
+    /// Takes in what another node knows of the operators' records, and tells
+    /// what this one does.
+    fn bulletin(&self, _theirs: Bulletin) -> Bulletin {
+        Bulletin::default()
+    }
 }
 
 /// A situation that is replaced by hand.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -143,6 +143,7 @@
         match links.exchange(choice.peer, &open, upload, terms).await {
             Reply::Answered { head, body } => {
                 let load = Some(head.load);
+                self.parts.situations.heard(choice.peer, head.plan);
                 let response = response(*head, body);
                 Attempted::Answered(ending.answered(response, load))
             }
@@ -150,8 +151,11 @@
                 refused,
                 load,
                 upload,
-                ..
+                plan,
             } => {
+                if load.is_some() {
+                    self.parts.situations.heard(choice.peer, plan);
+                }
                 if load.is_none() && refused.reason() == Reason::Unreachable {
                     self.parts.situations.suspect(&choice.instance);
                 }
--- a/src/membership/direct/follower.rs
+++ b/src/membership/direct/follower.rs
@@ -47,7 +47,11 @@
         let mut pause = self.settings.retry_min;
         let mut lost = false;
         loop {
-            match self.step(position).await {
+            let stepped = self.step(position).await;
+            if self.subject == Subject::Plans {
+                self.shared.store_told(stepped.is_ok());
+            }
+            match stepped {
                 Ok(next) => {
                     if lost {
                         log::info!("the store tells {} again", self.subject.as_str());
@@ -92,7 +96,7 @@
         }
         if !changes.is_empty() {
             match self.subject {
-                Subject::Plans => self.shared.plans_changed(revision, changes),
+                Subject::Plans => self.shared.plans_changed(changes),
                 Subject::Nodes => self.shared.nodes_changed(changes),
             }
         }
--- a/src/membership/direct/ledger.rs
+++ b/src/membership/direct/ledger.rs
@@ -4,20 +4,20 @@
 use std::sync::Arc;
 
 use crate::plan::{Plan, Version};
-use crate::store::{Change, Listing, Record, Revision};
+use crate::store::{Change, Listing, Record};
 
 use super::{Source, Unreadable};
 
-/// Records of the operators as the store told them.
+/// Records of the operators as the store or another node told them.
 ///
-/// The version of a plan is the revision of the store at which its records were
-/// known to be current, so that nodes can compare what they know.
+/// The version of a plan is the revision of the store's newest change to the
+/// records, so that nodes can compare what they know.
 #[derive(Debug)]
 pub struct Ledger {
     source: Arc<dyn Source>,
-    records: BTreeMap<String, String>,
-    revision: Revision,
-    compiled: Option<BTreeMap<String, String>>,
+    records: BTreeMap<String, Record>,
+    version: Version,
+    compiled: Option<Version>,
     number: u64,
 }
 
@@ -28,35 +28,67 @@
         Self {
             source,
             records: BTreeMap::new(),
-            revision: Revision::default(),
+            version: Version::default(),
             compiled: None,
             number: 0,
         }
     }
 
-    /// Takes in all records at once.
+    /// Version of what is known.
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// What is known, in the order of the keys.
+    #[must_use]
+    pub fn records(&self) -> Vec<Record> {
+        self.records.values().cloned().collect()
+    }
+
+    /// Takes in all records at once. A listing does not show when a record was
+    /// deleted, so one that lacks a record counts as new as the store itself.
     pub fn listed(&mut self, listing: Listing) {
-        if listing.revision < self.revision {
+        if Version(listing.revision.0) < self.version {
             return;
         }
-        self.revision = listing.revision;
-        let records = listing.records.into_iter();
-        self.records = records.map(|record| (record.key, record.value)).collect();
+        let newest = newest(&listing.records);
+        let records = by_key(listing.records);
+        let lacks = |key: &String| !records.contains_key(key);
+        let version = if self.records.keys().any(lacks) {
+            Version(listing.revision.0)
+        } else {
+            newest
+        };
+        self.replace(version, records);
+    }
+
+    /// Takes in what another node knows.
+    pub fn told(&mut self, version: Version, records: Vec<Record>) {
+        self.replace(version, by_key(records));
     }
 
-    /// Takes in changes up to `revision`.
-    pub fn changed(&mut self, revision: Revision, changes: Vec<Change>) {
+    /// Takes in changes. Those that are part of what is known change nothing.
+    pub fn changed(&mut self, changes: Vec<Change>) {
+        let known = self.version;
         for change in changes {
+            let revision = match &change {
+                Change::Put(record) => record.revision,
+                Change::Delete { revision, .. } => *revision,
+            };
+            if Version(revision.0) <= known {
+                continue;
+            }
+            self.version = self.version.max(Version(revision.0));
             match change {
-                Change::Put(Record { key, value, .. }) => {
-                    self.records.insert(key, value);
+                Change::Put(record) => {
+                    self.records.insert(record.key.clone(), record);
                 }
                 Change::Delete { key, .. } => {
                     self.records.remove(&key);
                 }
             }
         }
-        self.revision = self.revision.max(revision);
     }
 
     /// The plan of the records, unless it is the one taken before.
@@ -65,11 +97,16 @@
     ///
     /// Tells which record cannot be read; asked again only when something changed.
     pub fn take_plan(&mut self) -> Result<Option<Plan>, Unreadable> {
-        if self.compiled.as_ref() == Some(&self.records) {
+        if self.compiled == Some(self.version) {
             return Ok(None);
         }
-        self.compiled = Some(self.records.clone());
-        let number = self.source.number(&self.records);
+        self.compiled = Some(self.version);
+        let texts: BTreeMap<String, String> = self
+            .records
+            .values()
+            .map(|record| (record.key.clone(), record.value.clone()))
+            .collect();
+        let number = self.source.number(&texts);
         if number < self.number {
             log::warn!(
                 "the store holds plan {number}, older than plan {} in force, which stays",
@@ -77,10 +114,29 @@
             );
             return Ok(None);
         }
-        let plan = self.source.plan(Version(self.revision.0), &self.records)?;
+        let plan = self.source.plan(self.version, &texts)?;
         if plan.is_some() {
             self.number = number;
         }
         Ok(plan)
     }
+
+    fn replace(&mut self, version: Version, records: BTreeMap<String, Record>) {
+        if version > self.version {
+            self.version = version;
+            self.records = records;
+        }
+    }
+}
+
+fn newest(records: &[Record]) -> Version {
+    let revisions = records.iter().map(|record| record.revision);
+    Version(revisions.max().unwrap_or_default().0)
+}
+
+fn by_key(records: Vec<Record>) -> BTreeMap<String, Record> {
+    let keyed = records
+        .into_iter()
+        .map(|record| (record.key.clone(), record));
+    keyed.collect()
 }
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -11,9 +11,12 @@
 
 mod announcement;
 mod announcer;
+mod board;
+mod bulletin;
 mod follower;
 mod ledger;
 mod roster;
+mod rumour;
 #[cfg(test)]
 mod tests;
 
@@ -29,11 +32,14 @@
 use super::{Handle, Instance, Situation, State, View};
 use crate::clock::{Clock, Time};
 use crate::plan::{Plan, Version};
-use crate::store::{Client, Listing, Record, Revision};
+use crate::store::{Client, Listing, Record};
 
 pub use announcement::{Announcement, Departed};
+pub use board::Board;
+pub use bulletin::{Bulletin, Neighbours};
 pub use ledger::Ledger;
 pub use roster::Roster;
+pub use rumour::Rumour;
 
 use announcer::Announcer;
 
@@ -122,9 +128,39 @@
     desired: Arc<watch::Sender<Option<Announcement>>>,
     shared: Arc<Shared>,
     departures: mpsc::Sender<oneshot::Sender<()>>,
+    heard: mpsc::Sender<board::Heard>,
+    hearing: Mutex<Option<mpsc::Receiver<board::Heard>>>,
+    shutdown: CancellationToken,
 }
 
 impl Member {
+    /// What the data path asks.
+    #[must_use]
+    pub fn board(&self) -> Board {
+        Board {
+            handle: self.handle.clone(),
+            shared: Arc::clone(&self.shared),
+            heard: self.heard.clone(),
+        }
+    }
+
+    /// Lets this node exchange bulletins with others, once.
+    pub fn meet(&self, neighbours: Arc<dyn Neighbours>) {
+        let hearing = self
+            .hearing
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(hearing) = hearing {
+            let shared = Arc::clone(&self.shared);
+            let handle = self.handle.clone();
+            spawn_until(
+                &self.shutdown,
+                board::run(shared, handle, neighbours, hearing),
+            );
+        }
+    }
+
     /// Access for the other slices.
     #[must_use]
     pub fn handle(&self) -> Handle {
@@ -175,7 +211,9 @@
     let publisher = Publisher::new();
     let handle = publisher.handle(suspicions);
     let desired = Arc::new(watch::Sender::new(None));
+    let (heard, hearing) = mpsc::channel(board::HEARD_QUEUE);
     let shared = Arc::new(Shared {
+        silent_since: Mutex::new(Some(clock.now())),
         state: Mutex::new(Shelf {
             ledger: Ledger::new(Arc::clone(&source)),
             roster: Roster::new(settings.lapse),
@@ -215,6 +253,9 @@
         desired,
         shared,
         departures,
+        heard,
+        hearing: Mutex::new(Some(hearing)),
+        shutdown: shutdown.clone(),
     }
 }
 
@@ -222,6 +263,8 @@
 #[derive(Debug)]
 struct Shared {
     state: Mutex<Shelf>,
+    /// Since when the store has not told plans.
+    silent_since: Mutex<Option<Time>>,
     name: String,
     prefix: String,
     previous: watch::Sender<Option<Option<Announcement>>>,
@@ -252,12 +295,56 @@
         self.compile(&mut state);
     }
 
-    fn plans_changed(&self, revision: Revision, changes: Vec<crate::store::Change>) {
+    fn plans_changed(&self, changes: Vec<crate::store::Change>) {
         let mut state = self.lock();
-        state.ledger.changed(revision, changes);
+        state.ledger.changed(changes);
         self.compile(&mut state);
     }
 
+    /// The store told plans, or failed to.
+    fn store_told(&self, told: bool) {
+        let mut since = self
+            .silent_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if told {
+            *since = None;
+        } else if since.is_none() {
+            *since = Some(self.clock.now());
+        }
+    }
+
+    fn store_is_silent(&self, limit: Duration) -> bool {
+        let since = *self
+            .silent_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        since.is_some_and(|since| self.clock.now().since(since) >= limit)
+    }
+
+    /// Whether there is a reason to look for news without a call.
+    fn needs_news(&self, rumour: &Rumour, limit: Duration) -> bool {
+        rumour.is_pending() || self.store_is_silent(limit)
+    }
+
+    /// Takes in what another node knows and tells what this one does.
+    fn bulletin(&self, theirs: Bulletin) -> Bulletin {
+        let mut state = self.lock();
+        let version = state.ledger.version();
+        if let Some(records) = theirs.records
+            && theirs.version > version
+        {
+            log::info!("plan {} was told by another node", theirs.version);
+            state.ledger.told(theirs.version, records);
+            self.compile(&mut state);
+        }
+        let newer = state.ledger.version() > theirs.version;
+        Bulletin {
+            version: state.ledger.version(),
+            records: newer.then(|| state.ledger.records()),
+        }
+    }
+
     fn compile(&self, state: &mut Shelf) {
         match state.ledger.take_plan() {
             Ok(Some(plan)) => {
--- a/src/membership/direct/tests/mod.rs
+++ b/src/membership/direct/tests/mod.rs
@@ -1,2 +1,3 @@
 mod ledger;
 mod roster;
+mod rumour;
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -25,14 +25,14 @@
 use super::{Stop, Tuning};
 use crate::backend::registry::{self, Reaction, Registry, Report};
 use crate::backend::{self, Current, Http};
-use crate::call::{Admission, Ids, Observer};
+use crate::call::{Admission, Ids, Observer, Situations};
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::entry;
 use crate::gate::{self, Gate};
 use crate::membership::direct::{self, Member, Source};
 use crate::membership::{Epoch, Instance, State};
-use crate::peer;
+use crate::peer::{self, Links};
 use crate::routing::{self, Place};
 use crate::store::Client;
 use crate::telemetry::log::Identity;
@@ -283,12 +283,17 @@
             member: Arc::clone(&member),
             settings: settings.registry,
         });
+        let links = Arc::new(Links::new(settings.tuning.peer, Arc::clone(&observer)));
+        member.meet(links.clone());
+        let situations: Arc<dyn Situations> = Arc::new(member.board());
         let configured = Arc::clone(&registry);
         let path = Path::start(
             Blueprint {
                 place: settings.place.clone(),
                 service: settings.service.clone(),
                 handle: handle.clone(),
+                situations,
+                links,
                 admission,
                 server,
                 client,
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -18,6 +18,7 @@
 use crate::entry;
 use crate::gate::{self, Gate};
 use crate::membership::{self, Epoch, Handle, Instance, Member, State};
+use crate::peer::Links;
 use crate::plan::{Plan, Version};
 use crate::routing::Place;
 use crate::telemetry::log::Identity;
@@ -63,11 +64,14 @@
             settings.backend_server,
             backend::Settings::default(),
         ));
+        let tuning = tuning();
         let path = Path::start(
             Blueprint {
                 place: place(&settings),
                 service: settings.service.clone(),
                 handle: handle.clone(),
+                situations: Arc::new(handle.clone()),
+                links: Arc::new(Links::new(tuning.peer, observer.clone())),
                 admission: Arc::clone(&admission),
                 server: Arc::new(Current::fixed(&settings.service)),
                 client: client.clone(),
@@ -78,7 +82,7 @@
                 ids: Arc::new(ids),
                 seed: settings.seed,
                 identity: identity.clone(),
-                tuning: tuning(),
+                tuning,
             },
             listeners.caller,
             listeners.peer,
--- a/src/node/path.rs
+++ b/src/node/path.rs
@@ -9,7 +9,7 @@
 use super::follow::{Configure, Follower};
 use crate::backend::{Client, Current, Executor};
 use crate::call::claim::Claims;
-use crate::call::{Admission, Ids, Observer};
+use crate::call::{Admission, Ids, Observer, Situations};
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::entry::{self, Entry};
@@ -24,8 +24,12 @@
     pub place: Place,
     /// Service beside the entry.
     pub service: String,
-    /// Plan in force and instances known.
+    /// Plan in force and instances known, for what follows them.
     pub handle: Handle,
+    /// The same as the data path asks for it.
+    pub situations: Arc<dyn Situations>,
+    /// Links to other nodes.
+    pub links: Arc<Links>,
     /// Gate of the backend server.
     pub admission: Arc<Admission>,
     /// The backend server.
@@ -87,7 +91,7 @@
             place: place.clone(),
             server: blueprint.server,
             dialect: Arc::clone(&blueprint.dialect),
-            situations: Arc::new(handle.clone()),
+            situations: Arc::clone(&blueprint.situations),
             admission: Arc::clone(&blueprint.admission),
             client: blueprint.client,
             clock: blueprint.clock,
@@ -97,14 +101,13 @@
         });
         let router = Router::new(tuning.routing, place.clone(), blueprint.seed);
         let router = Arc::new(Mutex::new(router));
-        let links = Links::new(tuning.peer, Arc::clone(&blueprint.observer));
         let entry = Entry::new(entry::Parts {
             place,
             service: blueprint.service,
-            situations: Arc::new(handle.clone()),
+            situations: blueprint.situations,
             router: Arc::clone(&router),
             executor: Arc::clone(&executor),
-            links: Arc::new(links),
+            links: blueprint.links,
             clock: blueprint.clock,
             dialect: blueprint.dialect,
             observer: blueprint.observer,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -31,6 +31,7 @@
 
 mod answer;
 mod ask;
+mod bulletin;
 mod calls;
 mod exchange;
 mod inbound;
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -16,7 +16,6 @@
 use crate::call::claim::{Digest, Question};
 use crate::call::{Body, Context, Cut, Event, Loss, MAX_HOPS, Reason, Trace};
 
-use super::Settings;
 use super::calls::Calls;
 use super::inbound::Inbound;
 use super::outbound::{Broken, Outbound};
@@ -24,6 +23,7 @@
 use super::wire::{
     self, Claim, Claimed, Encoder, Failed, Head, Open, Raw, Recall, Refused, Trailers, kind,
 };
+use super::{Settings, bulletin};
 
 /// Room for the head of an answer and a short body.
 const ANSWER_BYTES: usize = 4 * 1024;
@@ -43,6 +43,9 @@
     let open = match opened {
         Ok(Some(First::Open(open))) => open,
         Ok(Some(First::Claim(claim))) => return answer_claim(&executor, &claim, respond),
+        Ok(Some(First::Bulletin(bulletin))) => {
+            return answer_bulletin(&executor, &bulletin, respond);
+        }
         Ok(Some(First::Recall(recall))) => {
             calls.recall(recall.call);
             // The entry waits for the word on the call itself.
@@ -72,6 +75,7 @@
     Open(Box<Open>),
     Claim(Claim),
     Recall(Recall),
+    Bulletin(wire::Bulletin),
 }
 
 async fn first(inbound: &mut Inbound) -> Option<First> {
@@ -82,6 +86,7 @@
         kind::OPEN => wire::read(kind, &payload).ok().map(First::Open),
         kind::CLAIM => wire::read(kind, &payload).ok().map(First::Claim),
         kind::RECALL => wire::read(kind, &payload).ok().map(First::Recall),
+        kind::BULLETIN => wire::read(kind, &payload).ok().map(First::Bulletin),
         _ => None,
     }
 }
@@ -106,6 +111,20 @@
     }
 }
 
+fn answer_bulletin(executor: &Executor, bulletin: &wire::Bulletin, respond: SendResponse<Bytes>) {
+    let Some(theirs) = bulletin::read(bulletin) else {
+        executor.observer.event(Event::LinkRejected);
+        return;
+    };
+    let own = executor.situations.bulletin(theirs);
+    let mut frames = Encoder::default();
+    let sent = frames.message(kind::BULLETIN, &bulletin::write(&own));
+    // A node that hears nothing asks another one.
+    if sent.is_ok() {
+        let _ = Outbound::responding(respond).flush(&mut frames, true);
+    }
+}
+
 /// Sends what becomes of the call.
 struct Reply<'a> {
     call: u64,
@@ -189,6 +208,7 @@
             status: parts.status,
             headers: parts.headers,
             load: self.executor.load(),
+            plan: self.executor.plan(),
         };
         let mut frames = Encoder::with_capacity(ANSWER_BYTES);
         if frames.message(kind::HEAD, &head).is_err() {
--- a/src/peer/wire/message.rs
+++ b/src/peer/wire/message.rs
@@ -59,6 +59,8 @@
     pub headers: HeaderMap,
     /// Load of the backend server.
     pub load: Load,
+    /// Plan of the gate.
+    pub plan: Version,
 }
 
 /// The call was not run.
@@ -118,6 +120,15 @@
     pub verdict: Verdict,
 }
 
+/// What a node knows of the operators' records.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Bulletin {
+    /// Version that the records make.
+    pub version: Version,
+    /// The records in JSON; empty when the other node needs none.
+    pub records: String,
+}
+
 /// Writes a message as a counted list and reads it back by a visitor that
 /// defaults what is missing.
 macro_rules! counted {
@@ -164,10 +175,11 @@
 
 counted!(Open, 11: call, plan, service, tenant, method, path, headers, time_left, hops,
     regions, bodiless);
-counted!(Head, 4: call, status, headers, load);
+counted!(Head, 5: call, status, headers, load, plan);
 counted!(Refused, 4: call, reason, load, plan);
 counted!(Failed, 3: call, loss, load);
 counted!(Trailers, 1: headers);
 counted!(Recall, 1: call);
 counted!(Claim, 6: call, digest_high, digest_low, regions, intent, keep);
 counted!(Claimed, 2: call, verdict);
+counted!(Bulletin, 2: version, records);
--- a/src/peer/wire/mod.rs
+++ b/src/peer/wire/mod.rs
@@ -16,7 +16,7 @@
 
 pub use decoder::{Decoder, Malformed, Raw, read};
 pub use encoder::Encoder;
-pub use message::{Claim, Claimed, Failed, Head, Open, Recall, Refused, Trailers};
+pub use message::{Bulletin, Claim, Claimed, Failed, Head, Open, Recall, Refused, Trailers};
 
 /// Version of the frames that this node sends.
 pub const VERSION: u8 = 1;
@@ -53,6 +53,9 @@
     pub const CLAIM: u8 = 10;
     /// Down: the answer to it. Message [`Claimed`](super::Claimed).
     pub const CLAIMED: u8 = 11;
+    /// Both ways: what the sender knows of the operators' records. Message
+    /// [`Bulletin`](super::Bulletin).
+    pub const BULLETIN: u8 = 12;
     /// Down: the answer's head. Message [`Head`](super::Head).
     pub const HEAD: u8 = 9;
 }
--- a/src/peer/wire/tests.rs
+++ b/src/peer/wire/tests.rs
@@ -55,6 +55,7 @@
         status: StatusCode::CREATED,
         headers: headers(),
         load: LOAD,
+        plan: Version(7),
     }
 }
 
@@ -319,7 +320,7 @@
     failed_survives: survives(kind::FAILED, &FAILED);
     trailers_survive: survives(kind::TRAILERS, &trailers());
     open_skips_a_later_field: skips_a_later_field(kind::OPEN, &open(), 11);
-    head_skips_a_later_field: skips_a_later_field(kind::HEAD, &head(), 4);
+    head_skips_a_later_field: skips_a_later_field(kind::HEAD, &head(), 5);
     refused_skips_a_later_field: skips_a_later_field(kind::REFUSED, &REFUSED, 4);
     failed_skips_a_later_field: skips_a_later_field(kind::FAILED, &FAILED, 3);
     trailers_skip_a_later_field: skips_a_later_field(kind::TRAILERS, &trailers(), 1);
