--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -251,7 +251,6 @@
         let departed: Option<Departed> = state.presence.last_departed().cloned();
         let server = state.presence.server().filter(|_| !state.stopping);
         let mut instance = self.parts.instance.clone();
-        instance.epoch = crate::membership::Epoch(unix_ms());
         match server {
             Some(server) => instance.service = server.service,
             None => instance.state = State::Leaving,
--- a/src/backend/registry/presence.rs
+++ b/src/backend/registry/presence.rs
@@ -66,6 +66,8 @@
 pub struct Presence {
     address: SocketAddr,
     known: Option<Known>,
+    /// Number of its last report.
+    sequence: Option<u64>,
     departed: VecDeque<Departed>,
 }
 
@@ -82,7 +84,6 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
-    sequence: Option<u64>,
 }
 
 impl Presence {
@@ -92,6 +93,7 @@
         Self {
             address,
             known: None,
+            sequence: None,
             departed: VecDeque::new(),
         }
     }
@@ -141,20 +143,16 @@
                 Reaction::Outdated
             };
         }
-        if self
-            .known
-            .as_ref()
-            .is_some_and(|known| !known.precedes(report))
-        {
+        if !self.is_news(report) {
             return Reaction::Outdated;
         }
+        self.sequence = Some(report.sequence);
         self.known = Some(Known {
             process: report.process.clone(),
             born_ms: report.born_ms,
             service: report.service.clone(),
             slots: report.slots,
             leaving: report.leaving,
-            sequence: Some(report.sequence),
         });
         if report.leaving {
             self.remember(Departed {
@@ -205,8 +203,8 @@
                     service: service.to_owned(),
                     slots: health.slots.unwrap_or(SLOTS_UNTOLD),
                     leaving: false,
-                    sequence: None,
                 });
+                self.sequence = None;
                 true
             }
             None => false,
@@ -218,6 +216,22 @@
         self.known = None;
     }
 
+    /// Whether `report` is newer than what is known.
+    fn is_news(&self, report: &Report) -> bool {
+        let Some(known) = &self.known else {
+            return true;
+        };
+        if let (Some(known), Some(born)) = (known.born_ms, report.born_ms)
+            && known != born
+        {
+            return known < born;
+        }
+        if known.process != report.process {
+            return true;
+        }
+        self.sequence.is_none_or(|last| last < report.sequence)
+    }
+
     fn has_departed(&self, process: &str, born_ms: Option<u64>) -> bool {
         self.departed
             .iter()
@@ -234,21 +248,6 @@
     }
 }
 
-impl Known {
-    /// Whether `report` is newer than what is known.
-    fn precedes(&self, report: &Report) -> bool {
-        if let (Some(known), Some(born)) = (self.born_ms, report.born_ms)
-            && known != born
-        {
-            return known < born;
-        }
-        if self.process != report.process {
-            return true;
-        }
-        self.sequence.is_none_or(|known| known < report.sequence)
-    }
-}
-
 /// A name may be used again by a later start.
 fn is_same_start(born_ms: Option<u64>, departed: &Departed) -> bool {
     match (born_ms, departed.born_ms) {
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -283,9 +283,18 @@
 }
 
 impl Shared {
+    /// The own epoch counts what was announced since the start; the store
+    /// gives announcements another order.
     fn set_own(&self, instance: &Instance) {
         let mut state = self.lock();
-        state.own = Some(instance.clone());
+        let epoch = state.own.as_ref().map_or(super::Epoch(0), |own| own.epoch);
+        if state.own.as_ref().is_some_and(|own| own.is_like(instance)) {
+            return;
+        }
+        state.own = Some(Instance {
+            epoch: super::Epoch(epoch.0 + 1),
+            ..instance.clone()
+        });
         self.publish(&state);
     }
 
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -33,6 +33,19 @@
     pub state: State,
 }
 
+impl Instance {
+    /// Whether `other` says the same, whatever the epoch.
+    #[must_use]
+    pub fn is_like(&self, other: &Self) -> bool {
+        let epoch = self.epoch;
+        *self
+            == Self {
+                epoch,
+                ..other.clone()
+            }
+    }
+}
+
 /// What an instance announces of its life cycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
