Tell loads to entries nearby, and weigh slow spells by how long they lasted

Gates now tell entries of their region each change that would alter a choice, and the expected time grows with the age of the slow spell.

--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -43,7 +43,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            probe_interval: Duration::from_millis(250),
+            probe_interval: Duration::from_millis(100),
             probe_timeout: Duration::from_millis(500),
             gate: gate::Settings::default(),
         }
--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -8,7 +8,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::{Clock, Time};
@@ -26,6 +26,7 @@
     inner: Mutex<Inner>,
     clock: Clock,
     rescheduled: Notify,
+    loads: watch::Sender<Load>,
 }
 
 struct Inner {
@@ -54,6 +55,7 @@
             }),
             clock,
             rescheduled: Notify::new(),
+            loads: watch::Sender::new(Load::default()),
         })
     }
 
@@ -79,6 +81,7 @@
             deadline,
         };
         inner.run(|gate, actions| gate.arrive(now, arrival, actions));
+        self.tell(inner.gate.load(now));
         drop(inner);
         self.rescheduled.notify_one();
         Waiting {
@@ -118,6 +121,22 @@
         self.lock().gate.load(now)
     }
 
+    /// Follows the load; changes that nobody would act on are left out.
+    #[must_use]
+    pub fn loads(&self) -> watch::Receiver<Load> {
+        self.loads.subscribe()
+    }
+
+    fn tell(&self, load: Load) {
+        self.loads.send_if_modified(|told| {
+            let differs = told.differs(&load);
+            if differs {
+                *told = load;
+            }
+            differs
+        });
+    }
+
     /// Where the backend server stands in its life cycle.
     #[must_use]
     pub fn state(&self) -> State {
@@ -165,6 +184,7 @@
         let mut inner = self.lock();
         inner.run(|gate, actions| step(gate, now, actions));
         let waits = inner.gate.queued() > 0;
+        self.tell(inner.gate.load(now));
         drop(inner);
         if waits {
             self.rescheduled.notify_one();
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -251,7 +251,11 @@
             bytes: upload.known_bytes() as u64,
             avoid: progress.avoid,
         };
-        let choice = self.router().choose(now, &ask)?;
+        let own = self.parts.executor.load();
+        let mut router = self.router();
+        router.told(now, &self.parts.place.instance, &own);
+        let choice = router.choose(now, &ask)?;
+        drop(router);
         if progress.avoid.contains(choice.backend) {
             let abandoned = routing::Event::Abandoned;
             self.router().observe(now, choice.backend, &abandoned);
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -14,14 +14,12 @@
 use super::limit::Limit;
 use super::pause::Pause;
 use super::queue::Queue;
+use super::slowness::Slowness;
 use super::{Action, Arrival, Load, Outcome, Settings, Sign, State, Ticket};
 
 /// A backend server that has not said for how long it is cold may be cold.
 const UNTIL_TOLD: Time = Time::from_micros(u64::MAX);
 
-/// Least slowness that is believed.
-const SLOWNESS_MIN: f64 = 0.1;
-
 /// Admission to one backend server.
 #[derive(Debug)]
 pub struct Gate {
@@ -33,7 +31,7 @@
     allowance: Allowance,
     /// When the cold allowance lets the next waiting call through.
     allowed_at: Option<Time>,
-    slowness: f64,
+    slowness: Slowness,
     boots: Boots,
     collapse: Collapse,
     limit: Limit,
@@ -54,7 +52,7 @@
             cold_until: UNTIL_TOLD,
             allowance: Allowance::default(),
             allowed_at: None,
-            slowness: 1.0,
+            slowness: Slowness::default(),
             boots: Boots::default(),
             collapse: Collapse::default(),
             limit: Limit::new(&settings, now),
@@ -123,9 +121,7 @@
                 self.transition(Phase::fell);
             }
             Sign::ColdFor(time) => self.cold_until = now + time,
-            Sign::Slowness(hundredths) => {
-                self.slowness = (f64::from(hundredths) / 100.0).max(SLOWNESS_MIN);
-            }
+            Sign::Slowness(hundredths) => self.slowness.told(now, hundredths),
             Sign::Reachable => self.pause.reached(),
             Sign::Serving => self.says_cold = false,
             Sign::Draining => {
@@ -191,7 +187,7 @@
             in_hand: self.in_hand(),
             queued: self.queued(),
             limit: self.limit(),
-            service_time: self.limit.service_time().mul_f64(self.slowness),
+            service_time: self.slowness.expect(now, self.limit.service_time()),
             accepting: self.closed(now).is_none(),
         }
     }
@@ -246,7 +242,7 @@
         } else {
             (ahead - limit) / limit.max(1) + 1
         };
-        let service_time = self.limit.service_time().mul_f64(self.slowness);
+        let service_time = self.slowness.expect(now, self.limit.service_time());
         let expected = now + service_time * rounds;
         let expected = expected.max(self.cold_turn(now, self.queue.ahead_of(arrival)));
         (arrival.deadline <= now || expected >= arrival.deadline).then_some(Reason::Deadline)
@@ -279,7 +275,7 @@
 
     fn answered(&mut self, now: Time, service_time: Duration) {
         let in_hand = self.in_hand();
-        let service_time = service_time.div_f64(self.slowness);
+        let service_time = service_time.div_f64(self.slowness.factor());
         let slowness = self.limit.slowness(service_time);
         let is_low = in_hand <= self.settings.slots / 2;
         if self.collapse.answered(now, slowness, is_low) {
--- a/src/gate/load.rs
+++ b/src/gate/load.rs
@@ -21,6 +21,26 @@
     pub accepting: bool,
 }
 
+/// Share by which the expected time of a call must change to be told.
+const TOLD_SHARE: f64 = 0.25;
+/// Calls by which the load must change to be told.
+const TOLD_CALLS: u32 = 2;
+
+impl Load {
+    /// Whether an entry that knows this load would choose otherwise by `now`.
+    #[must_use]
+    pub fn differs(&self, now: &Self) -> bool {
+        let before = self.service_time.as_secs_f64();
+        let change = (now.service_time.as_secs_f64() - before).abs();
+        let calls = self.in_hand + self.queued;
+        let calls_now = now.in_hand + now.queued;
+        self.accepting != now.accepting
+            || self.limit != now.limit
+            || calls.abs_diff(calls_now) >= TOLD_CALLS
+            || change > before * TOLD_SHARE
+    }
+}
+
 /// A report goes with every answer; whole microseconds take half the bytes.
 mod micros {
     use std::time::Duration;
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -15,6 +15,7 @@
 mod pause;
 mod queue;
 mod settings;
+mod slowness;
 #[cfg(test)]
 mod tests;
 
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -139,13 +139,15 @@
         },
         routing: routing::Settings {
             initial_service_time: Duration::from_millis(100),
-            service_time_half_life: Duration::from_millis(100),
+            service_time_half_life: Duration::from_millis(300),
             recall_reserve: f64::INFINITY,
             retry_ratio: 0.12,
             retry_burst: 3.0,
             retry_floor_per_s: 0.2,
+            calls_half_life: 2.0,
             ..routing::Settings::default()
         },
+        follows_loads: true,
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod follow;
 pub mod hosted;
 mod listen;
+mod nearby;
 mod observe;
 mod parts;
 mod path;
--- /dev/null
+++ b/src/node/nearby.rs
@@ -0,0 +1,90 @@
+//! Follows the loads of the gates in the own region.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::call::Situations;
+use crate::clock::Clock;
+use crate::membership::{Epoch, Handle, State};
+use crate::peer::Links;
+use crate::routing::{Place, Router};
+
+/// Pause before a stream that ended is opened again.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Follows gates nearby.
+pub struct Nearby {
+    pub place: Place,
+    pub handle: Handle,
+    pub situations: Arc<dyn Situations>,
+    pub links: Arc<Links>,
+    pub router: Arc<Mutex<Router>>,
+    pub clock: Clock,
+}
+
+/// Which gate is followed, and by what.
+struct Followed {
+    epoch: Epoch,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Followed {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Nearby {
+    /// Follows until dropped.
+    pub async fn run(mut self) {
+        let mut followed: BTreeMap<String, Followed> = BTreeMap::new();
+        loop {
+            let view = Arc::clone(&self.handle.situation().view);
+            followed.retain(|name, own| {
+                let known = view.get(name);
+                known.is_some_and(|instance| instance.epoch == own.epoch)
+            });
+            for instance in view.iter() {
+                let near = instance.region == self.place.region;
+                let other = instance.name != self.place.instance;
+                let present = instance.state == State::Present;
+                if near && other && present && !followed.contains_key(&instance.name) {
+                    let task = tokio::spawn(self.one(instance.name.clone(), instance.peer));
+                    let epoch = instance.epoch;
+                    followed.insert(instance.name.clone(), Followed { epoch, task });
+                }
+            }
+            self.handle.changed().await;
+        }
+    }
+
+    /// Follows one gate as long as it is announced.
+    fn one(&self, name: String, address: SocketAddr) -> impl Future<Output = ()> + use<> {
+        let situations = Arc::clone(&self.situations);
+        let links = Arc::clone(&self.links);
+        let router = Arc::clone(&self.router);
+        let clock = self.clock;
+        async move {
+            loop {
+                let told = links.follow(address, |told| {
+                    situations.heard(address, told.plan);
+                    let mut router = router.lock().unwrap_or_else(PoisonError::into_inner);
+                    router.told(clock.now(), &name, &told.load);
+                });
+                if let Err(down) = told.await {
+                    log::debug!("the load of {name} is not told: {down}");
+                }
+                router
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .lost(clock.now(), &name);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- a/src/node/path.rs
+++ b/src/node/path.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::follow::{Configure, Follower};
+use super::nearby::Nearby;
 use crate::backend::{Client, Current, Executor};
 use crate::call::claim::Claims;
 use crate::call::{Admission, Ids, Observer, Situations};
@@ -63,6 +64,8 @@
     pub peer: peer::Settings,
     /// Of the router.
     pub routing: routing::Settings,
+    /// Whether gates in the own region tell their loads without calls.
+    pub follows_loads: bool,
 }
 
 /// A data path that serves.
@@ -101,6 +104,14 @@
         });
         let router = Router::new(tuning.routing, place.clone(), blueprint.seed);
         let router = Arc::new(Mutex::new(router));
+        let nearby = Nearby {
+            place: place.clone(),
+            handle: handle.clone(),
+            situations: Arc::clone(&blueprint.situations),
+            links: Arc::clone(&blueprint.links),
+            router: Arc::clone(&router),
+            clock: blueprint.clock,
+        };
         let entry = Entry::new(entry::Parts {
             place,
             service: blueprint.service,
@@ -125,6 +136,9 @@
             identity: blueprint.identity,
         };
         spawn_until(&upkeep, follower.run());
+        if tuning.follows_loads {
+            spawn_until(&upkeep, nearby.run());
+        }
         tokio::spawn(Arc::clone(&blueprint.admission).run(upkeep.clone()));
         let servers = vec![
             tokio::spawn(entry::serve(callers, entry, serving.clone())),
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -34,6 +34,7 @@
 mod bulletin;
 mod calls;
 mod exchange;
+mod follow;
 mod inbound;
 mod links;
 mod outbound;
@@ -48,6 +49,7 @@
 
 pub use answer::Answer;
 pub use exchange::{Reply, Terms};
+pub use follow::Told;
 pub use links::{LinkDown, Links};
 pub use server::serve;
 pub use settings::Settings;
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -23,7 +23,7 @@
 use super::wire::{
     self, Claim, Claimed, Encoder, Failed, Head, Open, Raw, Recall, Refused, Trailers, kind,
 };
-use super::{Settings, bulletin};
+use super::{Settings, bulletin, follow};
 
 /// Room for the head of an answer and a short body.
 const ANSWER_BYTES: usize = 4 * 1024;
@@ -46,6 +46,11 @@
         Ok(Some(First::Bulletin(bulletin))) => {
             return answer_bulletin(&executor, &bulletin, respond);
         }
+        Ok(Some(First::Follow)) => {
+            // An error means that the entry is gone.
+            let _ = follow::tell(&executor, respond).await;
+            return;
+        }
         Ok(Some(First::Recall(recall))) => {
             calls.recall(recall.call);
             // The entry waits for the word on the call itself.
@@ -76,6 +81,7 @@
     Claim(Claim),
     Recall(Recall),
     Bulletin(wire::Bulletin),
+    Follow,
 }
 
 async fn first(inbound: &mut Inbound) -> Option<First> {
@@ -86,6 +92,7 @@
         kind::OPEN => wire::read(kind, &payload).ok().map(First::Open),
         kind::CLAIM => wire::read(kind, &payload).ok().map(First::Claim),
         kind::RECALL => wire::read(kind, &payload).ok().map(First::Recall),
+        kind::FOLLOW => Some(First::Follow),
         kind::BULLETIN => wire::read(kind, &payload).ok().map(First::Bulletin),
         _ => None,
     }
--- a/src/peer/wire/message.rs
+++ b/src/peer/wire/message.rs
@@ -129,6 +129,15 @@
     pub records: String,
 }
 
+/// The load of a gate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Loaded {
+    /// Load of the backend server.
+    pub load: Load,
+    /// Plan of the gate.
+    pub plan: Version,
+}
+
 /// Writes a message as a counted list and reads it back by a visitor that
 /// defaults what is missing.
 macro_rules! counted {
@@ -183,3 +192,4 @@
 counted!(Claim, 6: call, digest_high, digest_low, regions, intent, keep);
 counted!(Claimed, 2: call, verdict);
 counted!(Bulletin, 2: version, records);
+counted!(Loaded, 2: load, plan);
--- a/src/peer/wire/mod.rs
+++ b/src/peer/wire/mod.rs
@@ -16,7 +16,9 @@
 
 pub use decoder::{Decoder, Malformed, Raw, read};
 pub use encoder::Encoder;
-pub use message::{Bulletin, Claim, Claimed, Failed, Head, Open, Recall, Refused, Trailers};
+pub use message::{
+    Bulletin, Claim, Claimed, Failed, Head, Loaded, Open, Recall, Refused, Trailers,
+};
 
 /// Version of the frames that this node sends.
 pub const VERSION: u8 = 1;
@@ -56,6 +58,10 @@
     /// Both ways: what the sender knows of the operators' records. Message
     /// [`Bulletin`](super::Bulletin).
     pub const BULLETIN: u8 = 12;
+    /// Up: asks to be told the load of the gate whenever it changes. No payload.
+    pub const FOLLOW: u8 = 13;
+    /// Down: the load of the gate. Message [`Loaded`](super::Loaded).
+    pub const LOADED: u8 = 14;
     /// Down: the answer's head. Message [`Head`](super::Head).
     pub const HEAD: u8 = 9;
 }
--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// The backend server of an instance.
+    pub(super) fn find(&self, instance: &str) -> Option<Backend> {
+        self.names.get(instance).copied()
+    }
+
     fn update_view(&mut self, now: Time, view: &View, place: &Place) {
         let gone: Vec<Backend> = self
             .names
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -118,6 +118,23 @@
         }
     }
 
+    /// Takes in what a gate tells of itself without a call.
+    pub fn told(&mut self, now: Time, instance: &str, load: &Load) {
+        if let Some(backend) = self.directory.find(instance) {
+            self.reported(now, backend, load);
+        }
+    }
+
+    /// The link to a gate is gone; calls go elsewhere until it is back.
+    pub fn lost(&mut self, now: Time, instance: &str) {
+        if let Some(backend) = self.directory.find(instance)
+            && let Some(member) = self.directory.arena.get_mut(backend)
+        {
+            let reason = Reason::Unreachable;
+            member.health.close(now, reason, &self.settings);
+        }
+    }
+
     /// Takes a token of the retry budget. Tells whether there was one.
     pub fn may_retry(&mut self, now: Time) -> bool {
         self.retries.take(now, 1.0)
