Let calls wait only where they can still be answered in time

A gate now knows the usual time of each kind of call; a call that would wait past its objective is refused at once and may go to another gate, one that can only be late goes last, and one that cannot end before its deadline is not started.

--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use tokio::sync::Notify;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::claim::{Claims, Question, Verdict};
 use crate::call::hop;
@@ -18,7 +19,7 @@
 };
 use crate::clock::{Clock, Time};
 use crate::dialect::{Dialect, Order, Verdict as Answer};
-use crate::gate::Load;
+use crate::gate::{Arrival, Kind, Load};
 use crate::membership::Situation;
 use crate::plan::{Plan, Regions, Version, key};
 use crate::routing::Place;
@@ -74,6 +75,8 @@
     pub context: Context,
     /// When the call is worth nothing any more.
     pub deadline: Time,
+    /// Until when its answer has its full worth, where the plan says so.
+    pub objective: Option<Time>,
     /// Plan by which the entry chose.
     pub plan: Version,
     /// Span of the gate.
@@ -121,6 +124,17 @@
     regions: Option<Vec<String>>,
 }
 
+impl Rule {
+    /// Calls of one route run for a like time, whatever the plan.
+    fn kind(&self) -> Kind {
+        let route = self.situation.plan.route(self.route);
+        if route.terms.objective.is_none() {
+            return Kind::UNTOLD;
+        }
+        Kind(xxh3_64(route.name.as_bytes()))
+    }
+}
+
 impl Executor {
     /// What entries are told of the backend server.
     #[must_use]
@@ -174,7 +188,8 @@
         body: impl FnOnce() -> Body + Send,
     ) -> Outcome {
         let arrived = self.clock.now();
-        let call = match self.admit(call, progress).await {
+        let kind = rule.kind();
+        let call = match self.admit(call, job.objective, kind, progress).await {
             Ok(call) => call,
             Err(refused) => return Outcome::NotRun(refused),
         };
@@ -209,9 +224,17 @@
     async fn admit(
         &self,
         call: Call<Routed>,
+        objective: Option<Time>,
+        kind: Kind,
         progress: &Progress,
     ) -> Result<Call<Admitted>, NotRun> {
-        let mut waiting = self.admission.enter(call.worth(), call.deadline());
+        let mut waiting = self.admission.enter_as(Arrival {
+            worth: call.worth(),
+            deadline: call.deadline(),
+            objective,
+            kind,
+            ..Arrival::default()
+        });
         let verdict = loop {
             tokio::select! {
                 biased;
--- a/src/bench/policy/server.rs
+++ b/src/bench/policy/server.rs
@@ -163,6 +163,7 @@
                 ticket,
                 worth: call.worth,
                 deadline: now + call.left,
+                ..Arrival::default()
             };
             state.gate.arrive(now, arrival, &mut actions);
         }
--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -70,16 +70,21 @@
 
     /// Asks for admission. Dropping what is returned withdraws the call.
     pub fn enter(self: &Arc<Self>, worth: u32, deadline: Time) -> Waiting {
+        self.enter_as(Arrival {
+            worth,
+            deadline,
+            ..Arrival::default()
+        })
+    }
+
+    /// The same for a call of which more is told; its ticket is given here.
+    pub fn enter_as(self: &Arc<Self>, arrival: Arrival) -> Waiting {
         let (sender, receiver) = oneshot::channel();
         let now = self.clock.now();
         let mut inner = self.lock();
         let ticket = inner.issue();
         inner.waiting.insert(ticket.0, sender);
-        let arrival = Arrival {
-            ticket,
-            worth,
-            deadline,
-        };
+        let arrival = Arrival { ticket, ..arrival };
         inner.run(|gate, actions| gate.arrive(now, arrival, actions));
         self.tell(inner.gate.load(now));
         drop(inner);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -79,6 +79,7 @@
             headers,
             context: routable.context.clone(),
             deadline: parts.clock.now() + time_left,
+            objective: routable.objective,
             plan: routable.situation.plan.version,
         };
         let progress = Progress::default();
@@ -134,6 +135,7 @@
             hops: routable.context.hops,
             regions: routable.context.regions.clone().unwrap_or_default(),
             bodiless: upload.is_bodiless(),
+            objective_left: routable.objective_left(self.parts.clock.now()),
         };
         let terms = Terms {
             recall_after: choice.recall_after,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -9,6 +9,7 @@
 
 use crate::backend::{contains_region, find_tenant};
 use crate::call::{Context, Reason, Trace, hop, region_names};
+use crate::clock::Time;
 use crate::dialect::Dialect;
 use crate::headers;
 use crate::membership::{Situation, State};
@@ -28,6 +29,8 @@
     pub(super) allowed: Regions,
     pub(super) context: Context,
     pub(super) time_left: Duration,
+    /// Until when the answer has its full worth, where the plan says so.
+    pub(super) objective: Option<Time>,
     pub(super) idempotent: bool,
     pub(super) method: Method,
     pub(super) path: PathAndQuery,
@@ -88,6 +91,8 @@
         let time_left = context
             .time_left
             .map_or(by_plan.deadline, |left| left.min(by_plan.deadline));
+        let now = parts.clock.now();
+        let objective = by_plan.terms.objective.map(|objective| now + objective);
         let idempotent = by_plan.is_idempotent(&head.method);
         let regions = region_names(plan, allowed);
         let waits_for_continue = head.headers.contains_key(header::EXPECT);
@@ -97,6 +102,7 @@
             allowed,
             context: Context { regions, ..context },
             time_left,
+            objective,
             idempotent,
             method: head.method.clone(),
             path,
@@ -148,6 +154,14 @@
         self.situation.plan.route(self.route).terms.attempts
     }
 
+    /// Time left in which the answer has its full worth; zero when there is none
+    /// or the plan does not say. A call past its objective may wait like any
+    /// other, so the gate is not told of it.
+    pub(super) fn objective_left(&self, now: Time) -> Duration {
+        let objective = self.objective;
+        objective.map_or(Duration::ZERO, |objective| objective.since(now))
+    }
+
     /// Stated worth of one answer.
     pub(super) fn worth(&self) -> u32 {
         self.situation.plan.route(self.route).worth
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -13,9 +13,10 @@
 use super::life::{Drain, Phase};
 use super::limit::Limit;
 use super::pause::Pause;
-use super::queue::Queue;
+use super::queue::{Queue, Starts};
 use super::slowness::Slowness;
-use super::{Action, Arrival, Load, Outcome, Settings, Sign, State, Ticket};
+use super::work::Work;
+use super::{Action, Arrival, Kind, Load, Outcome, Settings, Sign, State, Ticket};
 
 /// A backend server that has not said for how long it is cold may be cold.
 const UNTIL_TOLD: Time = Time::from_micros(u64::MAX);
@@ -36,7 +37,9 @@
     collapse: Collapse,
     limit: Limit,
     pause: Pause,
-    running: BTreeMap<Ticket, Time>,
+    running: BTreeMap<Ticket, Kind>,
+    waiting: BTreeMap<Ticket, Kind>,
+    work: Work,
     queue: Queue,
 }
 
@@ -58,6 +61,8 @@
             limit: Limit::new(&settings, now),
             pause: Pause::default(),
             running: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            work: Work::default(),
             queue: Queue::default(),
         }
     }
@@ -71,7 +76,9 @@
             actions.push(Action::Refuse(arrival.ticket, reason));
             return;
         }
-        self.queue.push(&arrival);
+        let starts = self.starts(now, &arrival);
+        self.queue.push(&arrival, starts);
+        self.waiting.insert(arrival.ticket, arrival.kind);
         self.pump(now, actions);
         self.trim(arrival, actions);
     }
@@ -84,11 +91,11 @@
         outcome: Outcome,
         actions: &mut Vec<Action>,
     ) {
-        if self.running.remove(&ticket).is_none() {
+        let Some(kind) = self.running.remove(&ticket) else {
             return;
-        }
+        };
         match outcome {
-            Outcome::Answered { service_time } => self.answered(now, service_time),
+            Outcome::Answered { service_time } => self.answered(now, kind, service_time),
             Outcome::Failed => self.failed(now, actions),
             Outcome::Shed => self.limit.shrink(now),
             Outcome::Unreachable => self.unreachable(now, actions),
@@ -101,6 +108,7 @@
     pub fn recall(&mut self, _now: Time, ticket: Ticket) -> bool {
         let recalled = self.queue.remove(ticket);
         if recalled {
+            self.waiting.remove(&ticket);
             self.settle_empty();
         }
         recalled
@@ -175,7 +183,7 @@
         let drain_end = self
             .departure()
             .map(|at| at + self.settings.drain_queue_time);
-        let times = [self.queue.first_deadline(), drain_end, self.pause.until()];
+        let times = [self.queue.first_hopeless(), drain_end, self.pause.until()];
         let times = times.into_iter().chain([self.allowed_at]);
         times.flatten().min()
     }
@@ -234,18 +242,51 @@
         self.pause.is_closed(now).then_some(Reason::Unreachable)
     }
 
+    /// A call is not let in to wait when it could be answered in time elsewhere
+    /// only: while it waits here, it takes the place of one that can.
     fn too_late(&self, now: Time, arrival: &Arrival) -> Option<Reason> {
-        let limit = self.limit();
-        let ahead = self.in_hand() + count(self.queue.ahead_of(arrival));
-        let rounds = if ahead < limit {
-            0
+        let least = self.work.least(arrival.kind);
+        let work = self.slowness.expect(now, least);
+        let ahead = self.queue.ahead_of(arrival);
+        let turn = self.turn(now, ahead).max(self.cold_turn(now, ahead));
+        if now + least >= arrival.deadline {
+            return Some(Reason::Deadline);
+        }
+        let untold = arrival.kind == Kind::UNTOLD;
+        let end = if untold && turn > now {
+            turn + self.limit.service_time()
         } else {
-            (ahead - limit) / limit.max(1) + 1
+            turn + work
+        };
+        if end >= arrival.deadline {
+            return Some(if untold {
+                Reason::Deadline
+            } else {
+                Reason::Overloaded
+            });
+        }
+        let waits_in_vain = |objective: Time| turn > now && end > objective;
+        let in_vain = arrival.objective.is_some_and(waits_in_vain);
+        in_vain.then_some(Reason::Overloaded)
+    }
+
+    /// When a slot is expected to be free for a call that has `queued` before it.
+    fn turn(&self, now: Time, queued: usize) -> Time {
+        let limit = self.limit();
+        let ahead = self.in_hand() + count(queued);
+        let Some(over) = ahead.checked_sub(limit) else {
+            return now;
         };
         let service_time = self.slowness.expect(now, self.limit.service_time());
-        let expected = now + service_time * rounds;
-        let expected = expected.max(self.cold_turn(now, self.queue.ahead_of(arrival)));
-        (arrival.deadline <= now || expected >= arrival.deadline).then_some(Reason::Deadline)
+        now + service_time * (over + 1) / limit.max(1)
+    }
+
+    fn starts(&self, now: Time, arrival: &Arrival) -> Starts {
+        let work = self.slowness.expect(now, self.work.least(arrival.kind));
+        Starts {
+            in_time: arrival.objective.map(|objective| before(objective, work)),
+            at_all: before(arrival.deadline, work),
+        }
     }
 
     /// When the cold allowance lets a call through that has `ahead` before it.
@@ -273,9 +314,10 @@
         }
     }
 
-    fn answered(&mut self, now: Time, service_time: Duration) {
+    fn answered(&mut self, now: Time, kind: Kind, service_time: Duration) {
         let in_hand = self.in_hand();
         let service_time = service_time.div_f64(self.slowness.factor());
+        self.work.sample(kind, service_time);
         let slowness = self.limit.slowness(service_time);
         let is_low = in_hand <= self.settings.slots / 2;
         if self.collapse.answered(now, slowness, is_low) {
@@ -327,7 +369,8 @@
                 break;
             };
             self.allowance.note(now);
-            self.running.insert(ticket, now);
+            let kind = self.waiting.remove(&ticket).unwrap_or_default();
+            self.running.insert(ticket, kind);
             actions.push(Action::Admit(ticket));
         }
         self.settle_empty();
@@ -346,9 +389,10 @@
     }
 
     fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
-        while let Some(ticket) = self.queue.pop_late(now) {
-            actions.push(Action::Refuse(ticket, Reason::Deadline));
+        while let Some(ticket) = self.queue.pop_hopeless(now) {
+            self.refuse(ticket, Reason::Deadline, actions);
         }
+        self.queue.demote(now);
         let expired = |since: Time| now.since(since) >= self.settings.drain_queue_time;
         if self.departure().is_some_and(expired) {
             let reason = self.closed(now).unwrap_or(Reason::Draining);
@@ -366,15 +410,20 @@
             .pop_below(arrival.worth)
             .unwrap_or(arrival.ticket);
         self.queue.remove(shed);
-        actions.push(Action::Refuse(shed, Reason::Overloaded));
+        self.refuse(shed, Reason::Overloaded, actions);
     }
 
     fn refuse_queue(&mut self, reason: Reason, actions: &mut Vec<Action>) {
         while let Some(ticket) = self.queue.pop_first() {
-            actions.push(Action::Refuse(ticket, reason));
+            self.refuse(ticket, reason, actions);
         }
     }
 
+    fn refuse(&mut self, ticket: Ticket, reason: Reason, actions: &mut Vec<Action>) {
+        self.waiting.remove(&ticket);
+        actions.push(Action::Refuse(ticket, reason));
+    }
+
     fn settle_empty(&mut self) {
         if self.running.is_empty() && self.queue.is_empty() {
             self.transition(Phase::emptied);
@@ -382,6 +431,11 @@
     }
 }
 
+/// The time `duration` before `time`.
+fn before(time: Time, duration: Duration) -> Time {
+    Time::ZERO + time.since(Time::ZERO).saturating_sub(duration)
+}
+
 fn count(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX)
 }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -18,6 +18,7 @@
 mod slowness;
 #[cfg(test)]
 mod tests;
+mod work;
 
 use std::time::Duration;
 
@@ -30,11 +31,20 @@
 pub use settings::Settings;
 
 /// Key of one arrival, chosen by whoever reports it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
+/// What calls are alike in the time they run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Kind(pub u64);
+
+impl Kind {
+    /// Of a call that nothing is told of.
+    pub const UNTOLD: Self = Self(0);
+}
+
 /// A call that asks for admission.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Arrival {
     /// Key of the call at this gate.
     pub ticket: Ticket,
@@ -42,6 +52,10 @@
     pub worth: u32,
     /// When the answer is of no use any more.
     pub deadline: Time,
+    /// Until when the answer has its full worth, where it matters.
+    pub objective: Option<Time>,
+    /// Calls of one kind run for a like time.
+    pub kind: Kind,
 }
 
 /// What is to be done with a call that arrived.
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -1,4 +1,8 @@
-//! Calls that wait at a gate: highest worth first, then the earliest deadline.
+//! Calls that wait at a gate.
+//!
+//! Calls that can still meet their objective go first; among them the highest
+//! worth, then the earliest deadline. A call that can only be late is served
+//! when nothing better waits.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -8,37 +12,65 @@
 use super::{Arrival, Ticket};
 
 /// Position of a waiting call. Smaller is admitted earlier.
-type Rank = (Reverse<u32>, Time, u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    late: bool,
+    worth: Reverse<u32>,
+    deadline: Time,
+    sequence: u64,
+}
+
+/// Last moments at which a call is worth starting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Starts {
+    /// To meet its objective, where it has one.
+    pub(super) in_time: Option<Time>,
+    /// To be answered at all.
+    pub(super) at_all: Time,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    rank: Rank,
+    starts: Starts,
+}
 
 /// Waiting calls by rank.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     by_rank: BTreeMap<Rank, Ticket>,
-    ranks: BTreeMap<Ticket, Rank>,
-    deadlines: BTreeSet<(Time, Ticket)>,
+    entries: BTreeMap<Ticket, Entry>,
+    hopeless: BTreeSet<(Time, Ticket)>,
+    late: BTreeSet<(Time, Ticket)>,
     sequence: u64,
 }
 
 impl Queue {
-    pub(super) fn push(&mut self, arrival: &Arrival) {
-        let rank = (Reverse(arrival.worth), arrival.deadline, self.sequence);
+    pub(super) fn push(&mut self, arrival: &Arrival, starts: Starts) {
+        let rank = self.rank(arrival);
         self.sequence += 1;
         self.by_rank.insert(rank, arrival.ticket);
-        self.ranks.insert(arrival.ticket, rank);
-        self.deadlines.insert((arrival.deadline, arrival.ticket));
+        self.entries.insert(arrival.ticket, Entry { rank, starts });
+        self.hopeless.insert((starts.at_all, arrival.ticket));
+        if let Some(in_time) = starts.in_time {
+            self.late.insert((in_time, arrival.ticket));
+        }
     }
 
     pub(super) fn remove(&mut self, ticket: Ticket) -> bool {
-        let Some(rank) = self.ranks.remove(&ticket) else {
+        let Some(Entry { rank, starts }) = self.entries.remove(&ticket) else {
             return false;
         };
         self.by_rank.remove(&rank);
-        self.deadlines.remove(&(rank.1, ticket));
+        self.hopeless.remove(&(starts.at_all, ticket));
+        if let Some(in_time) = starts.in_time {
+            self.late.remove(&(in_time, ticket));
+        }
         true
     }
 
     pub(super) fn contains(&self, ticket: Ticket) -> bool {
-        self.ranks.contains_key(&ticket)
+        self.entries.contains_key(&ticket)
     }
 
     pub(super) fn pop_first(&mut self) -> Option<Ticket> {
@@ -49,40 +81,63 @@
 
     /// Takes out the call that is admitted last, if it is worth less than `worth`.
     pub(super) fn pop_below(&mut self, worth: u32) -> Option<Ticket> {
-        let (&(Reverse(lowest), ..), &ticket) = self.by_rank.last_key_value()?;
-        if lowest >= worth {
+        let (rank, &ticket) = self.by_rank.last_key_value()?;
+        if rank.worth.0 >= worth {
             return None;
         }
         self.remove(ticket);
         Some(ticket)
     }
 
-    /// Takes out one call whose deadline is not after `limit`.
-    pub(super) fn pop_late(&mut self, limit: Time) -> Option<Ticket> {
-        let &(deadline, ticket) = self.deadlines.first()?;
-        if deadline > limit {
+    /// Takes out one call that cannot be answered any more if it starts after `now`.
+    pub(super) fn pop_hopeless(&mut self, now: Time) -> Option<Ticket> {
+        let &(at_all, ticket) = self.hopeless.first()?;
+        if at_all > now {
             return None;
         }
         self.remove(ticket);
         Some(ticket)
     }
 
-    pub(super) fn first_deadline(&self) -> Option<Time> {
-        let &(deadline, _) = self.deadlines.first()?;
-        Some(deadline)
+    /// Puts calls behind that cannot meet their objective any more.
+    pub(super) fn demote(&mut self, now: Time) {
+        while let Some(&(in_time, ticket)) = self.late.first() {
+            if in_time > now {
+                return;
+            }
+            self.late.remove(&(in_time, ticket));
+            if let Some(entry) = self.entries.get_mut(&ticket) {
+                self.by_rank.remove(&entry.rank);
+                entry.rank.late = true;
+                self.by_rank.insert(entry.rank, ticket);
+            }
+        }
+    }
+
+    pub(super) fn first_hopeless(&self) -> Option<Time> {
+        let &(at_all, _) = self.hopeless.first()?;
+        Some(at_all)
     }
 
     /// Calls that would be admitted before `arrival`.
     pub(super) fn ahead_of(&self, arrival: &Arrival) -> usize {
-        let rank = (Reverse(arrival.worth), arrival.deadline, self.sequence);
-        self.by_rank.range(..rank).count()
+        self.by_rank.range(..self.rank(arrival)).count()
     }
 
     pub(super) fn len(&self) -> usize {
-        self.ranks.len()
+        self.entries.len()
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.ranks.is_empty()
+        self.entries.is_empty()
+    }
+
+    const fn rank(&self, arrival: &Arrival) -> Rank {
+        Rank {
+            late: false,
+            worth: Reverse(arrival.worth),
+            deadline: arrival.deadline,
+            sequence: self.sequence,
+        }
     }
 }
--- a/src/gate/tests/harness.rs
+++ b/src/gate/tests/harness.rs
@@ -77,6 +77,7 @@
             ticket,
             worth,
             deadline: self.now + Duration::from_millis(millis),
+            ..Arrival::default()
         };
         self.gate.arrive(self.now, arrival, &mut self.actions);
         ticket
--- a/src/gate/tests/invariants.rs
+++ b/src/gate/tests/invariants.rs
@@ -153,6 +153,7 @@
             ticket: Ticket(ticket),
             worth,
             deadline: self.now + Duration::from_millis(millis),
+            ..Arrival::default()
         };
         let known = self.running.contains(&ticket) || self.queued.contains_key(&ticket);
         self.gate.arrive(self.now, arrival, actions);
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::timeout;
 
 use crate::backend::{Executor, Job, Outcome};
@@ -323,6 +324,8 @@
             tenant: (!open.tenant.is_empty()).then_some(open.tenant),
         },
         deadline: executor.clock.now() + open.time_left,
+        objective: (open.objective_left > Duration::ZERO)
+            .then(|| executor.clock.now() + open.objective_left),
         plan: open.plan,
         trace,
     })
--- a/src/peer/wire/message.rs
+++ b/src/peer/wire/message.rs
@@ -39,6 +39,9 @@
     pub regions: Vec<String>,
     /// Whether no body follows.
     pub bodiless: bool,
+    /// Time left in which the answer has its full worth; zero when the plan does
+    /// not say.
+    pub objective_left: Duration,
 }
 
 /// Withdraws a call that is still queued.
@@ -182,8 +185,8 @@
     };
 }
 
-counted!(Open, 11: call, plan, service, tenant, method, path, headers, time_left, hops,
-    regions, bodiless);
+counted!(Open, 12: call, plan, service, tenant, method, path, headers, time_left, hops,
+    regions, bodiless, objective_left);
 counted!(Head, 5: call, status, headers, load, plan);
 counted!(Refused, 4: call, reason, load, plan);
 counted!(Failed, 3: call, loss, load);
