Send a second copy of a slow idempotent call to a server that is free

Half of the objective must have passed, the copy must be expected in time, and a budget a service (6 in 100 calls, 1 saved up a node) must hold a token; retries have a budget a service as well, as the rule counts arrivals by service.

--- a/src/bench/policy/entry.rs
+++ b/src/bench/policy/entry.rs
@@ -17,6 +17,8 @@
 use super::reports::Reports;
 use super::tally::{End, Tally};
 
+/// The only service of the block.
+const SERVICE: plan_key::Service = plan_key::Service(0);
 /// Attempts at one call, the first included.
 const ATTEMPTS: u32 = 3;
 /// Bytes that one call counts for between regions.
@@ -50,7 +52,7 @@
 
     /// Runs one call to its end.
     pub(super) async fn call(self: Arc<Self>, arrival: Arrival) {
-        self.chooser().call_made(self.stopwatch.now());
+        self.chooser().call_made(self.stopwatch.now(), SERVICE);
         let end = self.attempts(&arrival).await;
         let elapsed = self.stopwatch.now().since(arrival.at);
         self.tally().ended(&arrival, elapsed, end);
@@ -100,7 +102,7 @@
         let now = self.stopwatch.now();
         // The token for a recalled call was taken before the recall.
         let paid = matches!(end, End::Refused(Reason::Recalled));
-        now < deadline && (paid || self.chooser().may_retry(now))
+        now < deadline && (paid || self.chooser().may_retry(now, SERVICE))
     }
 
     async fn attempt(self: &Arc<Self>, arrival: &Arrival, deadline: Time, choice: &Choice) -> End {
@@ -138,7 +140,7 @@
 
     /// Asks for the call back if there is a token for trying it elsewhere.
     fn recall(&self, remote: &Remote, id: u64) -> bool {
-        let token = self.chooser().may_retry(self.stopwatch.now());
+        let token = self.chooser().may_retry(self.stopwatch.now(), SERVICE);
         if token {
             remote.link.send(Request::Recall { id });
         }
@@ -148,7 +150,7 @@
     fn settle_recall(&self, token: bool, answer: Option<&Answer>) {
         let recalled = Outcome::Refused(Reason::Recalled);
         if token && answer.is_none_or(|answer| answer.result != recalled) {
-            self.chooser().return_retry();
+            self.chooser().return_retry(self.stopwatch.now(), SERVICE);
         }
     }
 
@@ -194,7 +196,7 @@
 
 fn ask(arrival: &Arrival, deadline: Time, avoid: Avoid) -> Ask {
     Ask {
-        service: plan_key::Service(0),
+        service: SERVICE,
         regions: Regions::ALL,
         worth: arrival.worth,
         deadline,
--- a/src/call/observer.rs
+++ b/src/call/observer.rs
@@ -65,6 +65,8 @@
     },
     /// An attempt is followed by another.
     Retried,
+    /// A second copy of a call was sent.
+    Copied,
     /// A queued call is to be withdrawn.
     Recalled,
     /// The gate let a call through.
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -22,12 +22,12 @@
 use http_body_util::BodyExt;
 
 /// What the entry knows of a call between two attempts.
-struct Progress {
+pub(super) struct Progress {
     avoid: Avoid,
     attempts: u32,
     /// Attempts that a backend server has seen or may have seen.
-    reached: u32,
-    deadline: Time,
+    pub(super) reached: u32,
+    pub(super) deadline: Time,
     refused: Option<NotRun>,
     unknown: Option<Unknown>,
     /// Answer of a backend server that failed, in case no better one comes.
@@ -47,19 +47,19 @@
         }
     }
 
-    fn begin(&mut self, choice: &Choice) {
+    pub(super) fn begin(&mut self, choice: &Choice) {
         self.attempts += 1;
         self.avoid.insert(choice.backend);
     }
 
-    fn refuse(&mut self, refused: NotRun) {
+    pub(super) fn refuse(&mut self, refused: NotRun) {
         self.refused = Some(refused);
         if refused.reason() == Reason::Shed {
             self.reached += 1;
         }
     }
 
-    fn lose(&mut self, unknown: Unknown) {
+    pub(super) fn lose(&mut self, unknown: Unknown) {
         self.reached += 1;
         self.unknown = Some(unknown);
     }
@@ -166,16 +166,18 @@
         let mut progress = Progress::new(call.deadline());
         let mut upload = upload;
         let now = self.parts.clock.now();
-        self.router().call_made(now);
+        self.router().call_made(now, routable.service);
         loop {
             let choice = match self.choose(routable, &upload, &progress) {
                 Ok(choice) => choice,
                 Err(reason) => return progress.end(call.refuse(reason)),
             };
             progress.begin(&choice);
-            let time_left = progress.deadline.since(self.parts.clock.now());
-            let again = upload.again().filter(|_| routable.idempotent);
-            let left = match self.attempt(routable, &choice, upload, time_left).await {
+            let mut again = upload.again().filter(|_| routable.idempotent);
+            let attempted = self
+                .attempt_twice(routable, &choice, upload, &mut again, &mut progress)
+                .await;
+            let left = match attempted {
                 Attempted::Answered(response) => {
                     match self.take(response, again, routable, &mut progress).await {
                         Ok(response) => return Ended::Answered(response),
@@ -233,7 +235,7 @@
         }
     }
 
-    fn choose(
+    pub(super) fn choose(
         &self,
         routable: &Routable,
         upload: &Upload,
@@ -269,12 +271,12 @@
     /// A gate that closed is kept out of the choice for a while, so such retries
     /// cannot add up. A recall was planned because the budget had tokens saved,
     /// and must not leave the caller with less than it had in the queue.
-    fn may_retry(&self, now: Time, progress: &Progress) -> bool {
+    fn may_retry(&self, now: Time, routable: &Routable, progress: &Progress) -> bool {
         let refused = progress.refused.map(NotRun::reason);
         if progress.reached == 0 && self.is_free(refused) {
             return true;
         }
-        let has_token = self.router().may_retry(now);
+        let has_token = self.router().may_retry(now, routable.service);
         has_token || refused == Some(Reason::Recalled)
     }
 
@@ -294,7 +296,8 @@
         let spent = progress.attempts >= self.parts.settings.max_attempts;
         let allowed = routable.attempts();
         let reached = allowed.is_some_and(|allowed| progress.reached >= allowed);
-        if spent || reached || now >= progress.deadline || !self.may_retry(now, progress) {
+        if spent || reached || now >= progress.deadline || !self.may_retry(now, routable, progress)
+        {
             return None;
         }
         self.parts.observer.event(Event::Retried);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -47,6 +47,7 @@
 mod answer;
 mod attempt;
 mod claim;
+mod copy;
 mod forward;
 mod hold;
 mod request;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -154,6 +154,11 @@
         self.situation.plan.route(self.route).terms.attempts
     }
 
+    /// Time within which the answer has its full worth, where the plan says so.
+    pub(super) fn objective(&self) -> Option<Duration> {
+        self.situation.plan.route(self.route).terms.objective
+    }
+
     /// Time left in which the answer has its full worth; zero when there is none
     /// or the plan does not say. A call past its objective may wait like any
     /// other, so the gate is not told of it.
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// What callers may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
     /// Connections at the same time.
     pub max_connections: usize,
@@ -31,6 +31,9 @@
     /// Whether a refusal by a gate leaves the retry budget alone. Such a call
     /// has reached no backend server.
     pub free_refusals: bool,
+    /// Share of the objective after which an idempotent call without an answer is
+    /// sent to a second backend server; none when zero.
+    pub copy_after: f64,
     /// When a caller whose call was refused may come back.
     pub retry_after: Duration,
     /// Bytes of an answer to an idempotent call that are read before its head
@@ -52,6 +55,7 @@
             keys_after: Duration::ZERO,
             forwards_home: false,
             free_refusals: false,
+            copy_after: 0.0,
             retry_after: Duration::from_secs(1),
             held_answer_bytes: 0,
         }
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -128,6 +128,7 @@
             forwards_home: true,
             free_refusals: true,
             retry_after: Duration::from_millis(100),
+            copy_after: 0.5,
             held_answer_bytes: 64 * 1024,
             ..entry::Settings::default()
         },
@@ -141,9 +142,11 @@
             initial_service_time: Duration::from_millis(100),
             service_time_half_life: Duration::from_millis(300),
             recall_reserve: f64::INFINITY,
-            retry_ratio: 0.12,
-            retry_burst: 3.0,
-            retry_floor_per_s: 0.2,
+            retry_ratio: 0.06,
+            retry_burst: 2.0,
+            retry_floor_per_s: 0.0,
+            copy_ratio: 0.06,
+            copy_burst: 1.0,
             calls_half_life: 2.0,
             ..routing::Settings::default()
         },
--- a/src/node/observe.rs
+++ b/src/node/observe.rs
@@ -62,7 +62,7 @@
             Event::Cut => count(Name::AnswerCut),
             Event::Cancelled => count(Name::CallCancelled),
 
-            Event::Connected | Event::Routed { .. } | Event::Lost(_) => {}
+            Event::Connected | Event::Copied | Event::Routed { .. } | Event::Lost(_) => {}
         }
     }
 
--- a/src/routing/baseline.rs
+++ b/src/routing/baseline.rs
@@ -3,6 +3,7 @@
 //! They know zones and drains, but neither distance nor health.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -11,6 +12,8 @@
 use crate::clock::Time;
 use crate::membership::{Situation, State};
 
+use crate::plan;
+
 use super::bucket::Bucket;
 use super::key::Backend;
 use super::{Ask, Choice, Chooser, Event, Settings};
@@ -153,6 +156,8 @@
             peer: chosen.peer,
             local: false,
             recall_after: None,
+            expected: Duration::ZERO,
+            waits: false,
         })
     }
 
@@ -165,15 +170,15 @@
         }
     }
 
-    fn call_made(&mut self, _now: Time) {
+    fn call_made(&mut self, _now: Time, _service: plan::key::Service) {
         self.retries.add(self.retry_ratio);
     }
 
-    fn may_retry(&mut self, now: Time) -> bool {
+    fn may_retry(&mut self, now: Time, _service: plan::key::Service) -> bool {
         self.retries.take(now, 1.0)
     }
 
-    fn return_retry(&mut self) {
+    fn return_retry(&mut self, _now: Time, _service: plan::key::Service) {
         self.retries.add(1.0);
     }
 }
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -34,6 +34,17 @@
 }
 
 impl Candidate {
+    /// Time that a call is expected to take, all told.
+    pub(super) fn expected(&self) -> Duration {
+        let micros = self.transit_us + self.expected.wait_us + self.expected.service_us;
+        Duration::from_secs_f64(micros / 1e6)
+    }
+
+    /// Whether a call is expected to wait at the gate.
+    pub(super) fn waits(&self) -> bool {
+        self.expected.wait_us > 0.0
+    }
+
     /// Time after which the call should long have been admitted.
     pub(super) fn recall_after(&self, next_best_us: f64, settings: &Settings) -> Duration {
         let admitted_us = self.transit_us + 2.0 * self.expected.wait_us;
--- a/src/routing/chooser.rs
+++ b/src/routing/chooser.rs
@@ -3,6 +3,7 @@
 use crate::call::Reason;
 use crate::clock::Time;
 use crate::membership::Situation;
+use crate::plan::key;
 
 use super::key::Backend;
 use super::{Ask, Choice, Event, Router};
@@ -23,13 +24,13 @@
     fn observe(&mut self, now: Time, backend: Backend, event: &Event);
 
     /// Counts a call of a caller.
-    fn call_made(&mut self, now: Time);
+    fn call_made(&mut self, now: Time, service: key::Service);
 
     /// Takes a token of the retry budget. Tells whether there was one.
-    fn may_retry(&mut self, now: Time) -> bool;
+    fn may_retry(&mut self, now: Time, service: key::Service) -> bool;
 
     /// Gives back a token that was not used.
-    fn return_retry(&mut self);
+    fn return_retry(&mut self, now: Time, service: key::Service);
 
     /// A backend server to probe, when the budget allows it.
     fn probe(&mut self, _now: Time) -> Option<Choice> {
@@ -50,16 +51,16 @@
         Self::observe(self, now, backend, event);
     }
 
-    fn call_made(&mut self, now: Time) {
-        Self::call_made(self, now);
+    fn call_made(&mut self, now: Time, service: key::Service) {
+        Self::call_made(self, now, service);
     }
 
-    fn may_retry(&mut self, now: Time) -> bool {
-        Self::may_retry(self, now)
+    fn may_retry(&mut self, now: Time, service: key::Service) -> bool {
+        Self::may_retry(self, now, service)
     }
 
-    fn return_retry(&mut self) {
-        Self::return_retry(self);
+    fn return_retry(&mut self, now: Time, service: key::Service) {
+        Self::return_retry(self, now, service);
     }
 
     fn probe(&mut self, now: Time) -> Option<Choice> {
--- a/src/routing/directory.rs
+++ b/src/routing/directory.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Time;
 use crate::membership::{Instance, Situation, View};
-use crate::plan::Plan;
+use crate::plan::{Plan, key};
 
 use super::arena::Arena;
 use super::estimate::Estimate;
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Name of a service of the plan; empty when the plan has no such key.
+    pub(super) fn service_name(&self, service: key::Service) -> &str {
+        let known = self.plan.services.get(service.index());
+        known.map_or("", |service| &service.name)
+    }
+
     /// The backend server of an instance.
     pub(super) fn find(&self, instance: &str) -> Option<Backend> {
         self.names.get(instance).copied()
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -8,6 +8,7 @@
 mod arena;
 pub mod baseline;
 mod bucket;
+mod budget;
 mod candidates;
 mod chooser;
 mod directory;
@@ -107,6 +108,10 @@
     pub local: bool,
     /// Time after which a call that is still queued is worth taking back.
     pub recall_after: Option<Duration>,
+    /// Time that the call is expected to take, all told.
+    pub expected: Duration,
+    /// Whether the call is expected to wait at the gate.
+    pub waits: bool,
 }
 
 /// What became of a call, or a report that came with it.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -13,6 +13,7 @@
 use crate::plan::{Route, key};
 
 use super::bucket::Bucket;
+use super::budget::Budget;
 use super::candidates::{Candidate, Draw};
 use super::directory::Directory;
 use super::key::Backend;
@@ -33,8 +34,7 @@
     random: ChaCha8Rng,
     directory: Directory,
     drawn: Vec<Candidate>,
-    retries: Bucket,
-    copies: Bucket,
+    budgets: BTreeMap<String, Budget>,
     probes: Bucket,
     remote_bytes: BTreeMap<String, Bucket>,
     probe_cursor: usize,
@@ -51,8 +51,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             directory: Directory::default(),
             drawn: Vec::new(),
-            retries: bucket(settings.retry_burst, settings.retry_floor_per_s),
-            copies: bucket(settings.copy_burst, 0.0),
+            budgets: BTreeMap::new(),
             probes: bucket(settings.probe_bytes_per_s, settings.probe_bytes_per_s),
             remote_bytes: BTreeMap::new(),
             probe_cursor: 0,
@@ -73,7 +72,7 @@
     pub fn choose(&mut self, now: Time, ask: &Ask) -> Result<Choice, Reason> {
         let best = self.best(now, ask)?;
         self.charge(now, ask, &best);
-        let recall_after = self.recall_after(now, &best);
+        let recall_after = self.recall_after(now, ask.service, &best);
         let member = self
             .directory
             .arena
@@ -86,6 +85,8 @@
             peer: member.peer,
             local: member.distance == Distance::Own,
             recall_after,
+            expected: best.expected(),
+            waits: best.waits(),
         })
     }
 
@@ -136,24 +137,33 @@
     }
 
     /// Takes a token of the retry budget. Tells whether there was one.
-    pub fn may_retry(&mut self, now: Time) -> bool {
-        self.retries.take(now, 1.0)
+    pub fn may_retry(&mut self, now: Time, service: key::Service) -> bool {
+        self.budget(now, service).retries.take(now, 1.0)
     }
 
     /// Gives back a token that was taken for a retry that was not made.
-    pub fn return_retry(&mut self) {
-        self.retries.add(1.0);
+    pub fn return_retry(&mut self, now: Time, service: key::Service) {
+        self.budget(now, service).retries.add(1.0);
     }
 
     /// Takes a token of the budget of second copies. Tells whether there was one.
-    pub fn may_copy(&mut self, now: Time) -> bool {
-        self.copies.take(now, 1.0)
+    pub fn may_copy(&mut self, now: Time, service: key::Service) -> bool {
+        self.budget(now, service).copies.take(now, 1.0)
     }
 
     /// Counts a call of a caller, which pays into the budgets of retries and copies.
-    pub fn call_made(&mut self, _now: Time) {
-        self.retries.add(self.settings.retry_ratio);
-        self.copies.add(self.settings.copy_ratio);
+    pub fn call_made(&mut self, now: Time, service: key::Service) {
+        let settings = self.settings;
+        self.budget(now, service).call_made(&settings);
+    }
+
+    /// Budgets outlive plans, so they are kept by name.
+    fn budget(&mut self, now: Time, service: key::Service) -> &mut Budget {
+        let name = self.directory.service_name(service);
+        let settings = &self.settings;
+        self.budgets
+            .entry(name.to_owned())
+            .or_insert_with(|| Budget::new(settings, now))
     }
 
     /// A backend server without a fresh report, when the budget allows a probe.
@@ -171,6 +181,8 @@
             peer: member.peer,
             local: member.distance == Distance::Own,
             recall_after: None,
+            expected: Duration::ZERO,
+            waits: false,
         })
     }
 
@@ -194,8 +206,14 @@
 
     /// A recall makes sense when another backend server could take the call, and
     /// the retry budget is likely to pay for it.
-    fn recall_after(&mut self, now: Time, best: &Candidate) -> Option<Duration> {
-        if !self.retries.has(now, self.settings.recall_reserve) {
+    fn recall_after(
+        &mut self,
+        now: Time,
+        service: key::Service,
+        best: &Candidate,
+    ) -> Option<Duration> {
+        let reserve = self.settings.recall_reserve;
+        if !self.budget(now, service).retries.has(now, reserve) {
             return None;
         }
         let others = self.drawn.iter().filter(|one| one.backend != best.backend);
--- a/src/routing/tests/choice.rs
+++ b/src/routing/tests/choice.rs
@@ -101,8 +101,8 @@
     let now = harness.now;
     let mut retries = 0;
     for _ in 0..10_000 {
-        harness.router.call_made(now);
-        retries += u32::from(harness.router.may_retry(now));
+        harness.router.call_made(now, key::Service(0));
+        retries += u32::from(harness.router.may_retry(now, key::Service(0)));
     }
     assert!((300..=500).contains(&retries), "{retries}");
 }
