--- a/src/backend/registry/tests.rs
+++ b/src/backend/registry/tests.rs
@@ -50,39 +50,36 @@
     presence
 }
 
-fn process(presence: &Presence) -> Option<String> {
-    presence.server().and_then(|server: Server| server.process)
-}
-
-fn named(name: &str) -> Option<String> {
-    Some(name.to_owned())
+fn process(presence: &Presence) -> String {
+    let process = presence.server().and_then(|server: Server| server.process);
+    process.unwrap_or_default()
 }
 
 fn left_stays_left() {
     let mut presence = with(&[report("a", 1_000, 4)]);
     assert_eq!(presence.leave("a", None, NOW_MS), Reaction::Accepted);
     assert_eq!(presence.report(&report("a", 1_000, 5)), Reaction::Outdated);
-    assert_eq!(process(&presence), None);
+    assert_eq!(process(&presence), "");
 }
 
 fn name_used_again() {
     let mut presence = with(&[report("a", 1_000, 4)]);
     presence.leave("a", None, NOW_MS);
     assert_eq!(presence.report(&report("a", 1_001, 1)), Reaction::Accepted);
-    assert_eq!(process(&presence), named("a"));
+    assert_eq!(process(&presence), "a");
 }
 
 fn late_report_of_a_dead_process() {
     let mut presence = with(&[report("a", 1_000, 4), report("b", 2_000, 1)]);
     assert_eq!(presence.report(&report("a", 1_000, 5)), Reaction::Outdated);
-    assert_eq!(process(&presence), named("b"));
+    assert_eq!(process(&presence), "b");
 }
 
 fn leave_of_an_earlier_start() {
     let mut presence = with(&[report("a", 2_000, 1)]);
     let reaction = presence.leave("a", Some(1_000), NOW_MS);
     assert_eq!(reaction, Reaction::Outdated);
-    assert_eq!(process(&presence), named("a"));
+    assert_eq!(process(&presence), "a");
 }
 
 fn promise_survives_a_restart() {
@@ -93,7 +90,7 @@
     });
     assert!(!presence.probed("odber", &health("a")));
     assert_eq!(presence.report(&report("a", 1_000, 9)), Reaction::Outdated);
-    assert_eq!(process(&presence), None);
+    assert_eq!(process(&presence), "");
 }
 
 fn promise_is_recalled_late() {
@@ -103,7 +100,7 @@
         process: "a".into(),
         born_ms: Some(1_000),
     });
-    assert_eq!(process(&presence), None);
+    assert_eq!(process(&presence), "");
 }
 
 fn unknown_process_that_leaves() {
@@ -122,13 +119,13 @@
         ..report("b", 9_000, 1)
     };
     assert_eq!(presence.report(&foreign), Reaction::Foreign);
-    assert_eq!(process(&presence), named("a"));
+    assert_eq!(process(&presence), "a");
 }
 
 fn other_process_at_the_address() {
     let mut presence = with(&[report("a", 1_000, 1)]);
     assert!(!presence.probed("odber", &health("b")));
-    assert_eq!(process(&presence), None);
+    assert_eq!(process(&presence), "");
 }
 
 fn service_changes_with_the_process() {
@@ -142,14 +139,14 @@
 }
 
 cases! {
-    first_report_is_taken: assert_eq!(process(&with(&[report("a", 1_000, 1)])), named("a"));
+    first_report_is_taken: assert_eq!(process(&with(&[report("a", 1_000, 1)])), "a");
     older_report_changes_nothing: {
         let mut presence = with(&[report("a", 1_000, 2)]);
         assert_eq!(presence.report(&leaving("a", 1_000, 1)), Reaction::Outdated);
-        assert_eq!(process(&presence), named("a"));
+        assert_eq!(process(&presence), "a");
     };
     leaving_process_takes_no_work:
-        assert_eq!(process(&with(&[report("a", 1_000, 1), leaving("a", 1_000, 2)])), None);
+        assert_eq!(process(&with(&[report("a", 1_000, 1), leaving("a", 1_000, 2)])), "");
     process_that_left_is_never_used_again: left_stays_left();
     name_may_be_used_by_a_later_start: name_used_again();
     late_report_of_a_dead_process_is_outdated: late_report_of_a_dead_process();
@@ -163,6 +160,6 @@
     misdirected_call_shows_that_the_process_is_gone: {
         let mut presence = with(&[report("a", 1_000, 1)]);
         presence.misdirected();
-        assert_eq!(process(&presence), None);
+        assert_eq!(process(&presence), "");
     };
 }
--- a/src/entry/copy.rs
+++ b/src/entry/copy.rs
@@ -4,7 +4,6 @@
 //! one has used a good part of the time in which the answer has its full worth,
 //! another one that is free may still be in time.
 
-use std::pin::pin;
 use std::time::Duration;
 
 use tokio::time::sleep;
@@ -50,14 +49,13 @@
     ) -> Attempted {
         let now = self.parts.clock.now();
         let time_left = progress.deadline.since(now);
-        let first = self.attempt(routable, choice, upload, time_left);
+        let mut first = Box::pin(self.attempt(routable, choice, upload, time_left));
         if again.is_none() {
             return first.await;
         }
         let Some(after) = self.copy_after(now, routable, progress) else {
             return first.await;
         };
-        let mut first = pin!(first);
         tokio::select! {
             biased;
             attempted = &mut first => return attempted,
@@ -68,7 +66,7 @@
         };
         self.parts.observer.event(Event::Copied);
         let time_left = progress.deadline.since(self.parts.clock.now());
-        let mut second = pin!(self.attempt(routable, &other, upload, time_left));
+        let mut second = Box::pin(self.attempt(routable, &other, upload, time_left));
         let (ended, first_ended) = tokio::select! {
             biased;
             attempted = &mut first => (Ended::of(attempted), true),
--- a/src/entry/tests/bodies.rs
+++ b/src/entry/tests/bodies.rs
@@ -81,7 +81,7 @@
 async fn long_body_there_and_back(count: usize, sized: bool) {
     let server = BackendServer::start(&[OK]).await;
     let mut world = World::start(&[&server]).await;
-    world.desks = vec![super::world::Node::start(Spec::default(), echo().await).await];
+    world.desks = vec![super::world::Node::start(&Spec::default(), echo().await).await];
     world.learn(&super::world::plan());
     let mut request = Request::post("/orders").header("host", DESK);
     if sized {
@@ -121,7 +121,7 @@
             .expect("room");
         tokio::time::sleep(Duration::from_secs(1)).await;
     });
-    world.desks = vec![super::world::Node::start(Spec::default(), address).await];
+    world.desks = vec![super::world::Node::start(&Spec::default(), address).await];
     world.learn(&super::world::plan());
     let never_ends = stream::iter([Ok::<_, std::io::Error>(Frame::data(Bytes::from("eggs")))]);
     let never_ends = futures::StreamExt::chain(never_ends, stream::pending());
@@ -160,7 +160,7 @@
     });
     let server = BackendServer::start(&[OK]).await;
     let mut world = World::start(&[&server]).await;
-    world.desks = vec![super::world::Node::start(Spec::default(), address).await];
+    world.desks = vec![super::world::Node::start(&Spec::default(), address).await];
     world.learn(&super::world::plan());
     let request = Request::get("/orders").header("host", DESK);
     let request = request.body(Full::<Bytes>::default()).expect("a request");
--- a/src/entry/tests/depth.rs
+++ b/src/entry/tests/depth.rs
@@ -88,7 +88,7 @@
         slots: 16,
         ..Spec::default()
     };
-    world.desks = vec![Node::start(spec, looping.listen().await).await];
+    world.desks = vec![Node::start(&spec, looping.listen().await).await];
     world.learn(&plan());
     (world, looping)
 }
--- a/src/entry/tests/drain.rs
+++ b/src/entry/tests/drain.rs
@@ -120,7 +120,7 @@
         slots: if queued { 1 } else { 2 },
         ..Spec::default()
     };
-    let world = World::start_with(Spec::front(), narrow, &[&server]).await;
+    let world = World::start_with(&Spec::front(), &narrow, &[&server]).await;
     let links = Links::new(peer::Settings::default(), world.front.recorder.clone());
     let open = Open {
         call: 7,
--- a/src/entry/tests/hostile.rs
+++ b/src/entry/tests/hostile.rs
@@ -78,7 +78,7 @@
         },
         ..Spec::front()
     };
-    let world = World::start_with(front, Spec::default(), &[&server]).await;
+    let world = World::start_with(&front, &Spec::default(), &[&server]).await;
     let mut first = TcpStream::connect(world.front.instance.caller)
         .await
         .expect("room");
@@ -110,7 +110,7 @@
         },
         ..Spec::front()
     };
-    let world = World::start_with(front, Spec::default(), &[&server]).await;
+    let world = World::start_with(&front, &Spec::default(), &[&server]).await;
     let mut slow = TcpStream::connect(world.front.instance.caller)
         .await
         .expect("room");
--- a/src/entry/tests/rows.rs
+++ b/src/entry/tests/rows.rs
@@ -114,7 +114,7 @@
         zone: "south-a",
         ..Spec::default()
     };
-    let world = World::start_with(Spec::front(), southern, &[&server]).await;
+    let world = World::start_with(&Spec::front(), &southern, &[&server]).await;
     let answer = world.call(Method::GET, "/south/orders", "").await;
     assert_eq!(answer.summary(), "421 not-run region");
     let south = world.desks[0].instance.caller.to_string();
@@ -156,7 +156,7 @@
 
 async fn no_plan_yet() {
     let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-    let node = Node::start(Spec::front(), nowhere).await;
+    let node = Node::start(&Spec::front(), nowhere).await;
     let request = Request::get("/orders").body(Full::<Bytes>::default());
     let answer = send(node.instance.caller, request.expect("a request")).await;
     assert_eq!(answer.summary(), "503 not-run no-plan");
@@ -172,7 +172,7 @@
         slots: 1,
         ..Spec::default()
     };
-    let world = World::start_with(Spec::front(), narrow, &[&server]).await;
+    let world = World::start_with(&Spec::front(), &narrow, &[&server]).await;
     let running = world.call(Method::POST, "/orders", "");
     let queued = async {
         while server.seen().is_empty() {
--- a/src/entry/tests/world.rs
+++ b/src/entry/tests/world.rs
@@ -217,7 +217,7 @@
 }
 
 impl Node {
-    pub async fn start(spec: Spec<'_>, backend_server: SocketAddr) -> Self {
+    pub async fn start(spec: &Spec<'_>, backend_server: SocketAddr) -> Self {
         let place = Place {
             instance: spec.name.into(),
             region: spec.region.into(),
@@ -329,10 +329,10 @@
 
 impl World {
     pub async fn start(servers: &[&BackendServer]) -> Self {
-        Self::start_with(Spec::front(), Spec::default(), servers).await
+        Self::start_with(&Spec::front(), &Spec::default(), servers).await
     }
 
-    pub async fn start_with(front: Spec<'_>, desk: Spec<'_>, servers: &[&BackendServer]) -> Self {
+    pub async fn start_with(front: &Spec<'_>, desk: &Spec<'_>, servers: &[&BackendServer]) -> Self {
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
         let front = Node::start(front, nowhere).await;
         let mut desks = Vec::new();
@@ -340,9 +340,9 @@
             let name = format!("desk-{index}");
             let spec = Spec {
                 name: &name,
-                ..desk
+                ..*desk
             };
-            desks.push(Node::start(spec, server.address).await);
+            desks.push(Node::start(&spec, server.address).await);
         }
         let world = Self { front, desks };
         world.learn(&plan());
--- a/src/membership/direct/follower.rs
+++ b/src/membership/direct/follower.rs
@@ -80,7 +80,7 @@
             let revision = listing.revision;
             match self.subject {
                 Subject::Plans => self.shared.plans_listed(listing),
-                Subject::Nodes => self.shared.nodes_listed(listing),
+                Subject::Nodes => self.shared.nodes_listed(&listing),
             }
             return Ok(Some(revision));
         };
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -177,9 +177,10 @@
     /// store has told it.
     pub async fn previous(&self) -> Option<Announcement> {
         let mut previous = self.shared.previous.subscribe();
-        match previous.wait_for(Option::is_some).await {
-            Ok(told) => told.clone().flatten(),
-            Err(_) => None,
+        let told = previous.wait_for(|told| *told != Previous::Untold).await;
+        match told.as_deref() {
+            Ok(Previous::Announced(announcement)) => Some((**announcement).clone()),
+            Ok(Previous::Untold | Previous::Nothing) | Err(_) => None,
         }
     }
 
@@ -200,7 +201,7 @@
 pub fn start<C: Client>(
     settings: Settings,
     client: C,
-    source: Arc<dyn Source>,
+    source: &Arc<dyn Source>,
     clock: Clock,
     shutdown: &CancellationToken,
 ) -> Member {
@@ -215,14 +216,14 @@
     let shared = Arc::new(Shared {
         silent_since: Mutex::new(Some(clock.now())),
         state: Mutex::new(Shelf {
-            ledger: Ledger::new(Arc::clone(&source)),
+            ledger: Ledger::new(Arc::clone(source)),
             roster: Roster::new(settings.lapse),
             own: None,
             plan: Arc::default(),
         }),
         name: settings.name.clone(),
         prefix: settings.prefix.clone(),
-        previous: watch::Sender::new(None),
+        previous: watch::Sender::new(Previous::Untold),
         lost: Notify::new(),
         publisher,
         clock,
@@ -267,13 +268,24 @@
     silent_since: Mutex<Option<Time>>,
     name: String,
     prefix: String,
-    previous: watch::Sender<Option<Option<Announcement>>>,
+    previous: watch::Sender<Previous>,
     /// Raised when the store has lost this node's announcement.
     lost: Notify,
     publisher: Publisher,
     clock: Clock,
 }
 
+/// What this node announced before it was started again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Previous {
+    /// The store has not told it yet.
+    Untold,
+    /// Nothing.
+    Nothing,
+    /// This.
+    Announced(Box<Announcement>),
+}
+
 #[derive(Debug)]
 struct Shelf {
     ledger: Ledger,
@@ -365,7 +377,7 @@
         }
     }
 
-    fn nodes_listed(&self, listing: Listing) {
+    fn nodes_listed(&self, listing: &Listing) {
         let now = self.clock.now();
         let mut announcements = BTreeMap::new();
         for record in &listing.records {
@@ -424,9 +436,11 @@
 
     fn tell_previous(&self, previous: Option<Announcement>) {
         self.previous.send_if_modified(|told| {
-            let first = told.is_none();
+            let first = *told == Previous::Untold;
             if first {
-                *told = Some(previous);
+                *told = previous.map_or(Previous::Nothing, |announcement| {
+                    Previous::Announced(Box::new(announcement))
+                });
             }
             first
         });
--- a/src/membership/direct/tests/ledger.rs
+++ b/src/membership/direct/tests/ledger.rs
@@ -10,7 +10,7 @@
 struct Numbers;
 
 impl Source for Numbers {
-    fn prefix(&self) -> &str {
+    fn prefix(&self) -> &'static str {
         "plan/"
     }
 
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -271,7 +271,7 @@
             host,
             reload,
         } = platform;
-        let member = direct::start(settings.membership.clone(), store, source, clock, &upkeep);
+        let member = direct::start(settings.membership.clone(), store, &source, clock, &upkeep);
         let member = Arc::new(member);
         let handle = member.handle();
         let gate = Gate::new(settings.registry.gate, clock.now());
