--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -14,8 +14,9 @@
 use crate::call::claim::{Claims, Question, Verdict};
 use crate::call::hop;
 use crate::call::{
-    Admission, Admitted, Body, Call, Context, Dispatched, Duty, End, Event, Ids, Loss, NotRun,
-    Observer, Reason, Recording, Routed, Shed, Situations, Trace, Unknown, region_names,
+    Admission, Admitted, Body, Call, Context, Decision, Dispatched, Duty, End, Event, Ids, Loss,
+    NotRun, Observer, Reason, Recording, Routed, Shed, Situations, Trace, Unknown, region_names,
+    request_name,
 };
 use crate::clock::{Clock, Time};
 use crate::dialect::{Dialect, Order, Verdict as Answer};
@@ -161,10 +162,17 @@
     ) -> Outcome {
         let started = self.clock.now();
         let call = Call::receive(job.deadline);
+        let request = self.request_name(&job);
         let rule = match self.rule(&job) {
             Ok(rule) => rule,
-            Err(reason) => return self.refuse(call.refuse(reason)),
+            Err(reason) => {
+                let outcome = self.refuse(call.refuse(reason));
+                self.tell(request.as_deref(), &job.service, None, started, &outcome);
+                return outcome;
+            }
         };
+        let service = job.service.clone();
+        let told = rule.clone();
         let recording = Recording::begin(
             &self.observer,
             self.clock,
@@ -176,9 +184,43 @@
         let call = call.route(rule.worth, started + rule.deadline);
         let outcome = self.carry(call, job, rule, progress, body).await;
         recording.end(outcome.end());
+        self.tell(request.as_deref(), &service, Some(&told), started, &outcome);
         outcome
     }
 
+    /// Name of the request in log lines, when anyone wants them.
+    fn request_name(&self, job: &Job) -> Option<String> {
+        self.observer.wants_decisions().then(|| {
+            let id = self.dialect.request_id(&job.headers);
+            request_name(id.as_ref(), job.trace)
+        })
+    }
+
+    fn tell(
+        &self,
+        request: Option<&str>,
+        service: &str,
+        rule: Option<&Rule>,
+        started: Time,
+        outcome: &Outcome,
+    ) {
+        let Some(request) = request else {
+            return;
+        };
+        let route = rule.map(|rule| rule.situation.plan.route(rule.route));
+        self.observer.decision(&Decision {
+            duty: Duty::Gate,
+            request,
+            service,
+            route: route.map_or("", |route| &route.name),
+            plan: self.plan(),
+            tries: &[],
+            load: Some(self.load()),
+            elapsed: self.clock.now().since(started),
+            end: outcome.end(),
+        });
+    }
+
     async fn carry(
         &self,
         call: Call<Routed>,
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -22,6 +22,7 @@
 mod recording;
 mod refusal;
 mod situations;
+mod story;
 #[cfg(test)]
 mod tests;
 mod trace;
@@ -32,8 +33,9 @@
 pub use cycle::{
     Admitted, Answered, Call, Dispatched, Loss, NotRun, Received, Routed, Shed, Unknown, Unsent,
 };
-pub use observer::{Duty, End, Event, Ignore, Observer, Span};
+pub use observer::{Decision, Duty, End, Event, Ignore, Observer, Span, Try};
 pub use recording::Recording;
 pub use refusal::Reason;
 pub use situations::{Situations, Snapshot};
+pub use story::{Story, Turn, request_name};
 pub use trace::{Ids, Trace};
--- a/src/call/observer.rs
+++ b/src/call/observer.rs
@@ -5,6 +5,8 @@
 use http::StatusCode;
 
 use super::{Loss, Reason, Trace};
+use crate::gate::Load;
+use crate::plan::Version;
 
 /// Part that a node plays in a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -95,6 +97,46 @@
     LinkOpened,
 }
 
+/// A decision that touched a request, with what it was made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Decision<'a> {
+    /// Part played.
+    pub duty: Duty,
+    /// Id by which the caller knows the request.
+    pub request: &'a str,
+    /// Service asked for.
+    pub service: &'a str,
+    /// Name of the route.
+    pub route: &'a str,
+    /// Plan that it was made by.
+    pub plan: Version,
+    /// Attempts at backend servers, in their order.
+    pub tries: &'a [Try],
+    /// Load of the gate that decided.
+    pub load: Option<Load>,
+    /// Time since the request came.
+    pub elapsed: Duration,
+    /// What it came to.
+    pub end: End,
+}
+
+/// One attempt, and what its choice was made from.
+#[derive(Clone, Debug)]
+pub struct Try {
+    /// Instance that was chosen.
+    pub instance: String,
+    /// Time that the call was expected to take there.
+    pub expected: Duration,
+    /// Whether it was expected to wait.
+    pub waits: bool,
+    /// Age of the load report; none when there was none.
+    pub load_age: Option<Duration>,
+    /// Time that the attempt took.
+    pub elapsed: Duration,
+    /// How it ended.
+    pub end: End,
+}
+
 /// Receives events and spans. Must not block.
 pub trait Observer: Send + Sync + 'static {
     /// Counts something.
@@ -102,6 +144,14 @@
 
     /// Records a finished hop. Never called for calls outside their home regions.
     fn span(&self, span: &Span<'_>);
+
+    /// Whether decisions are wanted; they cost memory while a call runs.
+    fn wants_decisions(&self) -> bool {
+        false
+    }
+
+    /// Records a decision. Never called for calls outside their home regions.
+    fn decision(&self, _decision: &Decision<'_>) {}
 }
 
 /// Keeps nothing.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -26,6 +26,22 @@
     Unknown(Unknown, Option<Upload>),
 }
 
+impl Attempted {
+    /// How it ended.
+    pub(super) fn end(&self) -> End {
+        match self {
+            Self::Answered(response) => End::Answered(response.status()),
+            Self::NotRun(refused, _) => End::NotRun(refused.reason()),
+            Self::Unknown(unknown, _) => End::Unknown(unknown.loss()),
+        }
+    }
+
+    /// Whether it has an answer that is worth passing on.
+    pub(super) fn is_good(&self) -> bool {
+        matches!(self, Self::Answered(response) if !response.status().is_server_error())
+    }
+}
+
 impl Entry {
     pub(super) async fn attempt(
         &self,
@@ -53,11 +69,7 @@
             self.over_link(routable, choice, upload, time_left, headers, ending)
                 .await
         };
-        recording.end(match &attempted {
-            Attempted::Answered(response) => End::Answered(response.status()),
-            Attempted::NotRun(refused, _) => End::NotRun(refused.reason()),
-            Attempted::Unknown(unknown, _) => End::Unknown(unknown.loss()),
-        });
+        recording.end(attempted.end());
         attempted
     }
 
--- a/src/entry/copy.rs
+++ b/src/entry/copy.rs
@@ -8,7 +8,7 @@
 
 use tokio::time::sleep;
 
-use crate::call::{Event, NotRun, Unknown};
+use crate::call::{Event, Turn};
 use crate::clock::Time;
 use crate::peer::Upload;
 use crate::routing::{self, Choice};
@@ -18,23 +18,22 @@
 use super::forward::Progress;
 use super::request::Routable;
 
-/// What became of the copy that ended first.
-enum Ended {
-    /// It has an answer that is worth passing on, or is the only one left.
-    Won(Attempted),
-    /// It failed while the other one runs.
-    Lost(Attempted),
+/// Which of two copies ended first.
+enum Side {
+    First(Attempted),
+    Second(Attempted),
 }
 
-impl Ended {
-    fn of(attempted: Attempted) -> Self {
-        match attempted {
-            Attempted::Answered(response) if !response.status().is_server_error() => {
-                Self::Won(Attempted::Answered(response))
-            }
-            other => Self::Lost(other),
-        }
-    }
+/// A second copy that may be sent.
+struct Copy {
+    choice: Choice,
+    upload: Upload,
+    turn: Option<Turn>,
+}
+
+fn told(attempted: Attempted, progress: &mut Progress, turn: Option<Turn>) -> Attempted {
+    progress.attempted(turn, &attempted);
+    attempted
 }
 
 impl Entry {
@@ -46,41 +45,47 @@
         upload: Upload,
         again: &mut Option<Upload>,
         progress: &mut Progress,
+        turn: Option<Turn>,
     ) -> Attempted {
         let now = self.parts.clock.now();
         let time_left = progress.deadline.since(now);
         let mut first = Box::pin(self.attempt(routable, choice, upload, time_left));
-        if again.is_none() {
-            return first.await;
-        }
-        let Some(after) = self.copy_after(now, routable, progress) else {
-            return first.await;
+        let after = self.copy_after(now, routable, progress);
+        let Some(after) = after.filter(|_| again.is_some()) else {
+            return told(first.await, progress, turn);
         };
         tokio::select! {
             biased;
-            attempted = &mut first => return attempted,
+            attempted = &mut first => return told(attempted, progress, turn),
             () = sleep(after) => {}
         }
-        let Some((upload, other)) = self.choose_copy(routable, again, progress) else {
-            return first.await;
+        let Some(copy) = self.choose_copy(routable, again, progress) else {
+            return told(first.await, progress, turn);
         };
         self.parts.observer.event(Event::Copied);
         let time_left = progress.deadline.since(self.parts.clock.now());
-        let mut second = Box::pin(self.attempt(routable, &other, upload, time_left));
-        let (ended, first_ended) = tokio::select! {
+        let mut second = Box::pin(self.attempt(routable, &copy.choice, copy.upload, time_left));
+        let first_ended = tokio::select! {
             biased;
-            attempted = &mut first => (Ended::of(attempted), true),
-            attempted = &mut second => (Ended::of(attempted), false),
+            attempted = &mut first => Side::First(attempted),
+            attempted = &mut second => Side::Second(attempted),
         };
-        match ended {
-            Ended::Won(attempted) => attempted,
-            Ended::Lost(attempted) => {
+        match first_ended {
+            Side::First(attempted) => {
+                let attempted = told(attempted, progress, turn);
+                if attempted.is_good() {
+                    return attempted;
+                }
                 progress.note(&attempted);
-                if first_ended {
-                    second.await
-                } else {
-                    first.await
+                told(second.await, progress, copy.turn)
+            }
+            Side::Second(attempted) => {
+                let attempted = told(attempted, progress, copy.turn);
+                if attempted.is_good() {
+                    return attempted;
                 }
+                progress.note(&attempted);
+                told(first.await, progress, turn)
             }
         }
     }
@@ -106,7 +111,7 @@
         routable: &Routable,
         again: &mut Option<Upload>,
         progress: &mut Progress,
-    ) -> Option<(Upload, Choice)> {
+    ) -> Option<Copy> {
         let now = self.parts.clock.now();
         let upload = again.as_ref()?.again()?;
         let choice = self.choose(routable, &upload, progress).ok()?;
@@ -118,8 +123,12 @@
             return None;
         }
         drop(router);
-        progress.begin(&choice);
-        Some((upload, choice))
+        let turn = progress.begin(&choice);
+        Some(Copy {
+            choice,
+            upload,
+            turn,
+        })
     }
 }
 
@@ -128,8 +137,8 @@
     fn note(&mut self, attempted: &Attempted) {
         match attempted {
             Attempted::Answered(_) => self.reached += 1,
-            Attempted::NotRun(refused, _) => self.refuse(NotRun::clone(refused)),
-            Attempted::Unknown(unknown, _) => self.lose(Unknown::clone(unknown)),
+            Attempted::NotRun(refused, _) => self.refuse(*refused),
+            Attempted::Unknown(unknown, _) => self.lose(*unknown),
         }
     }
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -1,12 +1,14 @@
 //! Attempts at backend servers until one answers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use http::Response;
+use http::{HeaderValue, Response};
 use hyper::body::Incoming;
 
 use crate::call::{
-    Body, Call, Cut, Duty, End, Event, Loss, NotRun, Reason, Received, Recording, Routed, Unknown,
+    Body, Call, Cut, Decision, Duty, End, Event, Loss, NotRun, Reason, Received, Recording, Routed,
+    Story, Turn, Unknown,
 };
 use crate::clock::Time;
 use crate::dialect::Refusal;
@@ -32,10 +34,12 @@
     unknown: Option<Unknown>,
     /// Answer of a backend server that failed, in case no better one comes.
     failure: Option<Response<Body>>,
+    /// What is told of the call in the end, when anyone wants to know.
+    pub(super) story: Option<Story>,
 }
 
 impl Progress {
-    const fn new(deadline: Time) -> Self {
+    const fn new(deadline: Time, story: Option<Story>) -> Self {
         Self {
             avoid: Avoid::new(),
             attempts: 0,
@@ -44,12 +48,21 @@
             refused: None,
             unknown: None,
             failure: None,
+            story,
         }
     }
 
-    pub(super) fn begin(&mut self, choice: &Choice) {
+    pub(super) fn begin(&mut self, choice: &Choice) -> Option<Turn> {
         self.attempts += 1;
         self.avoid.insert(choice.backend);
+        self.story.as_mut().map(|story| story.attempt(choice))
+    }
+
+    /// Tells how an attempt ended.
+    pub(super) fn attempted(&mut self, turn: Option<Turn>, attempted: &Attempted) {
+        if let (Some(story), Some(turn)) = (&mut self.story, turn) {
+            story.attempted(turn, attempted.end());
+        }
     }
 
     pub(super) fn refuse(&mut self, refused: NotRun) {
@@ -66,12 +79,15 @@
 
     /// What all attempts together amount to: an answer counts most, and one
     /// attempt of unknown outcome makes the call unknown, whatever came after it.
-    fn end(self, without_attempt: NotRun) -> Ended {
-        match (self.failure, self.unknown) {
+    fn end(mut self, without_attempt: NotRun) -> Ended {
+        let story = self.story.take();
+        let ended = match (self.failure, self.unknown) {
             (Some(answer), _) => Ended::Answered(answer),
             (None, Some(unknown)) => Ended::Unknown(unknown),
             (None, None) => Ended::NotRun(self.refused.unwrap_or(without_attempt)),
-        }
+        };
+        ended.tell(story);
+        ended
     }
 }
 
@@ -82,6 +98,22 @@
     Unknown(Unknown),
 }
 
+impl Ended {
+    fn of(&self) -> End {
+        match self {
+            Self::Answered(response) => End::Answered(response.status()),
+            Self::NotRun(refused) => End::NotRun(refused.reason()),
+            Self::Unknown(unknown) => End::Unknown(unknown.loss()),
+        }
+    }
+
+    fn tell(&self, story: Option<Story>) {
+        if let Some(story) = story {
+            story.end(self.of());
+        }
+    }
+}
+
 impl Entry {
     /// Serves one request of a caller.
     pub(super) async fn serve(
@@ -93,9 +125,10 @@
         parts.observer.event(Event::Received);
         let (head, body) = request.into_parts();
         let call = Call::<Received>::receive(Time::from_micros(u64::MAX));
+        let id = parts.dialect.request_id(&head.headers);
         let mut routable = match Routable::check(self, head) {
             Ok(routable) => routable,
-            Err(refusable) => return self.refuse(call, &refusable),
+            Err(refusable) => return self.refuse(call, id.as_ref(), &refusable),
         };
         let call = call.route(routable.worth(), started + routable.time_left);
         let body = body.map_err(|_| Cut::Caller).boxed_unsync();
@@ -148,8 +181,24 @@
         ended
     }
 
-    fn refuse(&self, call: Call<Received>, refusable: &Refusable) -> Response<Body> {
+    fn refuse(
+        &self,
+        call: Call<Received>,
+        id: Option<&HeaderValue>,
+        refusable: &Refusable,
+    ) -> Response<Body> {
         let refused = call.refuse(refusable.reason);
+        self.parts.observer.decision(&Decision {
+            duty: Duty::Entry,
+            request: id.and_then(|id| id.to_str().ok()).unwrap_or_default(),
+            service: "",
+            route: "",
+            plan: self.parts.situations.situation().plan.version,
+            tries: &[],
+            load: None,
+            elapsed: Duration::ZERO,
+            end: End::NotRun(refused.reason()),
+        });
         self.parts.observer.event(Event::Refused(refused.reason()));
         self.not_run(refused, &refusable.addresses)
     }
@@ -163,7 +212,7 @@
     }
 
     async fn forward(&self, call: Call<Routed>, routable: &mut Routable, upload: Upload) -> Ended {
-        let mut progress = Progress::new(call.deadline());
+        let mut progress = Progress::new(call.deadline(), self.story(routable));
         let mut upload = upload;
         let now = self.parts.clock.now();
         self.router().call_made(now, routable.service);
@@ -172,15 +221,19 @@
                 Ok(choice) => choice,
                 Err(reason) => return progress.end(call.refuse(reason)),
             };
-            progress.begin(&choice);
+            let turn = progress.begin(&choice);
             let mut again = upload.again().filter(|_| routable.idempotent);
             let attempted = self
-                .attempt_twice(routable, &choice, upload, &mut again, &mut progress)
+                .attempt_twice(routable, &choice, upload, &mut again, &mut progress, turn)
                 .await;
             let left = match attempted {
                 Attempted::Answered(response) => {
                     match self.take(response, again, routable, &mut progress).await {
-                        Ok(response) => return Ended::Answered(response),
+                        Ok(response) => {
+                            let ended = Ended::Answered(response);
+                            ended.tell(progress.story.take());
+                            return ended;
+                        }
                         Err(left) => left,
                     }
                 }
@@ -203,6 +256,19 @@
         }
     }
 
+    fn story(&self, routable: &Routable) -> Option<Story> {
+        let parts = &self.parts;
+        let id = parts.dialect.request_id(&routable.headers);
+        Story::begin(
+            &parts.observer,
+            parts.clock,
+            &routable.situation,
+            routable.route,
+            id.as_ref(),
+            routable.trace,
+        )
+    }
+
     /// Takes an answer for the caller, or what is to be sent once more when
     /// another backend server may give a better one.
     async fn take(
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -70,7 +70,7 @@
 }
 
 /// Processor time of the control thread.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Reading(Arc<AtomicU64>);
 
 impl Reading {
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -6,6 +6,7 @@
 
 mod endpoint;
 mod reload;
+mod scrape;
 
 use std::fmt;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -20,7 +21,10 @@
 use tokio::runtime::Builder;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use super::control::Reading;
+use super::observe::Telemetry;
 use super::path::{Blueprint, Path, spawn_until};
+use super::report::Reporter;
 use super::stop::Orders;
 use super::{Stop, Tuning};
 use crate::backend::registry::{self, Reaction, Registry, Report};
@@ -35,8 +39,12 @@
 use crate::peer::{self, Links};
 use crate::routing::{self, Place};
 use crate::store::Client;
+use crate::telemetry::decision::Decisions;
+use crate::telemetry::journal::Journal;
 use crate::telemetry::log::Identity;
-use crate::{Error, Result};
+use crate::telemetry::metric::{Metrics, Scrape};
+use crate::telemetry::trace::Tracer;
+use crate::{Error, Result, telemetry};
 
 pub use reload::{Reload, Reloaded};
 
@@ -57,6 +65,10 @@
     pub report_listen: SocketAddr,
     /// Where the platform asks whether the node is ready.
     pub ready_listen: SocketAddr,
+    /// Where metrics are fetched, when they are.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Lines below this level are not logged.
+    pub log_level: log::LevelFilter,
     /// Time in which callers are answered and sent elsewhere before the node
     /// closes its address.
     pub linger: Duration,
@@ -90,6 +102,8 @@
             peer_listen: NOWHERE,
             report_listen: NOWHERE,
             ready_listen: NOWHERE,
+            metrics_listen: None,
+            log_level: log::LevelFilter::Info,
             linger: Duration::from_millis(2_300),
             grace: Duration::from_millis(4_800),
             seed: 0,
@@ -216,14 +230,22 @@
 /// # Errors
 ///
 /// Fails when an address cannot be bound or the runtime cannot be made.
-pub fn run<C: Client>(
-    settings: Settings,
-    platform: Platform<C>,
-    observer: Arc<dyn Observer>,
-    identity: Identity,
-) -> Result<Stop> {
+pub fn run<C: Client>(settings: Settings, platform: Platform<C>) -> Result<Stop> {
+    let identity = Identity::new(&settings.place.instance, &settings.place.zone);
+    let journal = Journal::start(std::io::stdout())?;
+    telemetry::log::init_journal(journal.clone(), identity.clone(), settings.log_level)?;
+    let scrape = Arc::new(Scrape::new()?);
+    let metrics = Metrics::kept(Arc::clone(&scrape));
+    let decisions = Decisions::new(journal, identity.clone());
+    let telemetry = Telemetry::new(metrics.clone(), Tracer::none()).with_decisions(decisions);
+    let tellers = Tellers {
+        observer: Arc::new(telemetry),
+        identity,
+        metrics,
+        scrape,
+    };
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let stop = runtime.block_on(serve(settings, platform, observer, identity));
+    let stop = runtime.block_on(serve(settings, platform, tellers));
     runtime.shutdown_background();
     stop
 }
@@ -231,11 +253,10 @@
 async fn serve<C: Client>(
     settings: Settings,
     platform: Platform<C>,
-    observer: Arc<dyn Observer>,
-    identity: Identity,
+    tellers: Tellers,
 ) -> Result<Stop> {
     let mut orders = Orders::listen()?;
-    let running = Running::start(&settings, platform, observer, identity).await?;
+    let running = Running::start(&settings, platform, tellers).await?;
     log::info!(
         "started: callers are accepted at {}",
         settings.caller_listen
@@ -244,6 +265,14 @@
     Ok(running.stop(&settings, &mut orders).await)
 }
 
+/// What tells of a node.
+struct Tellers {
+    observer: Arc<dyn Observer>,
+    identity: Identity,
+    metrics: Metrics,
+    scrape: Arc<Scrape>,
+}
+
 struct Running {
     path: Path,
     member: Arc<Member>,
@@ -255,9 +284,14 @@
     async fn start<C: Client>(
         settings: &Settings,
         platform: Platform<C>,
-        observer: Arc<dyn Observer>,
-        identity: Identity,
+        tellers: Tellers,
     ) -> Result<Self> {
+        let Tellers {
+            observer,
+            identity,
+            metrics,
+            scrape,
+        } = tellers;
         let callers = bind(settings.caller_listen).await?;
         let peers = bind(settings.peer_listen).await?;
         let reports = bind(settings.report_listen).await?;
@@ -323,6 +357,17 @@
         });
         spawn_until(&path.upkeep, endpoint::serve(reports, Arc::clone(&desk)));
         spawn_until(&path.upkeep, endpoint::serve(ready, desk));
+        if let Some(address) = settings.metrics_listen {
+            let metrics = bind(address).await?;
+            spawn_until(&path.upkeep, scrape::serve(metrics, scrape));
+        }
+        let reporter = Reporter {
+            handle: handle.clone(),
+            admission: Arc::clone(&path.admission),
+            metrics,
+            cpu: Reading::default(),
+        };
+        spawn_until(&path.upkeep, reporter.run());
         spawn_until(&path.upkeep, reload.run());
         let watched = Arc::clone(&registry).run(Arc::new(handle));
         spawn_until(&path.upkeep, watched);
--- a/src/node/observe.rs
+++ b/src/node/observe.rs
@@ -1,8 +1,10 @@
 //! Turns what the data path tells into metrics and spans.
 
+use std::sync::Arc;
 use std::time::SystemTime;
 
-use crate::call::{Duty, End, Event, Observer, Span};
+use crate::call::{Decision, Duty, End, Event, Observer, Span};
+use crate::telemetry::decision::Decisions;
 use crate::telemetry::metric::{Metrics, Name, tag};
 use crate::telemetry::trace::{Fact, Hop, Kind, Tracer};
 
@@ -11,12 +13,25 @@
 pub struct Telemetry {
     metrics: Metrics,
     tracer: Tracer,
+    decisions: Option<Arc<Decisions>>,
 }
 
 impl Telemetry {
     /// Telemetry that sends to both.
     pub const fn new(metrics: Metrics, tracer: Tracer) -> Self {
-        Self { metrics, tracer }
+        Self {
+            metrics,
+            tracer,
+            decisions: None,
+        }
+    }
+
+    /// The same, with a line for each decision that touches a request.
+    pub fn with_decisions(self, decisions: Decisions) -> Self {
+        Self {
+            decisions: Some(Arc::new(decisions)),
+            ..self
+        }
     }
 
     fn count_end(&self, span: &Span<'_>) {
@@ -66,6 +81,16 @@
         }
     }
 
+    fn wants_decisions(&self) -> bool {
+        self.decisions.is_some()
+    }
+
+    fn decision(&self, decision: &Decision<'_>) {
+        if let Some(decisions) = &self.decisions {
+            decisions.write(decision);
+        }
+    }
+
     fn span(&self, span: &Span<'_>) {
         if self.metrics.is_on() && span.duty == Duty::Entry {
             self.count_end(span);
--- a/src/routing/baseline.rs
+++ b/src/routing/baseline.rs
@@ -158,6 +158,7 @@
             recall_after: None,
             expected: Duration::ZERO,
             waits: false,
+            load_age: None,
         })
     }
 
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Age of the last report.
+    pub(super) fn age(&self, now: Time) -> Option<Duration> {
+        self.report.map(|report| now.since(report.at))
+    }
+
     /// Whether no report is younger than `lifetime`.
     pub(super) fn is_stale(&self, now: Time, lifetime: Duration) -> bool {
         self.report
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -112,6 +112,8 @@
     pub expected: Duration,
     /// Whether the call is expected to wait at the gate.
     pub waits: bool,
+    /// Age of the load report that this was expected from, if there was one.
+    pub load_age: Option<Duration>,
 }
 
 /// What became of a call, or a report that came with it.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -78,6 +78,7 @@
             .arena
             .get_mut(best.backend)
             .ok_or(Reason::NoBackendServer)?;
+        let load_age = member.estimate.age(now);
         member.estimate.dispatched(now);
         Ok(Choice {
             backend: best.backend,
@@ -87,6 +88,7 @@
             recall_after,
             expected: best.expected(),
             waits: best.waits(),
+            load_age,
         })
     }
 
@@ -183,6 +185,7 @@
             recall_after: None,
             expected: Duration::ZERO,
             waits: false,
+            load_age: None,
         })
     }
 
--- a/src/telemetry/log/mod.rs
+++ b/src/telemetry/log/mod.rs
@@ -11,16 +11,17 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use log::LevelFilter;
-use log4rs::append::console::ConsoleAppender;
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Config, Logger, Root};
 
+use super::journal::{self, Journal};
 use crate::plan::Version;
 use crate::settings::LogFormat;
 
 pub use line::Encoder;
-pub use log4rs::append::console::Target;
 
-const APPENDER: &str = "stderr";
+const APPENDER: &str = "lines";
 
 /// Libraries that log single requests, which is left to metrics and spans.
 const CHATTY: [&str; 5] = ["tarpc", "h2", "hyper", "hyper_util", "opentelemetry"];
@@ -64,28 +65,31 @@
 ///
 /// Fails when the process logs already.
 pub fn init(identity: Identity, level: LevelFilter, format: LogFormat) -> crate::Result<()> {
-    init_to(Target::Stderr, identity, level, format)
+    let encoder = Encoder { identity, format };
+    let appender = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(encoder))
+        .build();
+    init_by(Box::new(appender), level)
 }
 
-/// Starts logging for the whole process, to `target`.
+/// Starts logging for the whole process, in JSON to `journal`.
 ///
 /// # Errors
 ///
 /// Fails when the process logs already.
-pub fn init_to(
-    target: Target,
-    identity: Identity,
-    level: LevelFilter,
-    format: LogFormat,
-) -> crate::Result<()> {
-    let encoder = Encoder { identity, format };
-    let appender = ConsoleAppender::builder()
-        .target(target)
-        .encoder(Box::new(encoder))
-        .build();
+pub fn init_journal(journal: Journal, identity: Identity, level: LevelFilter) -> crate::Result<()> {
+    let encoder = Encoder {
+        identity,
+        format: LogFormat::Json,
+    };
+    init_by(Box::new(journal::Appender { encoder, journal }), level)
+}
+
+fn init_by(appender: Box<dyn Append>, level: LevelFilter) -> crate::Result<()> {
     let root = Root::builder().appender(APPENDER).build(level);
     let config = Config::builder()
-        .appender(Appender::builder().build(APPENDER, Box::new(appender)))
+        .appender(Appender::builder().build(APPENDER, appender))
         .loggers(CHATTY.map(|library| Logger::builder().build(library, LevelFilter::Off)))
         .build(root)
         .map_err(|error| crate::Error::Logging(error.to_string()))?;
--- a/src/telemetry/metric/mod.rs
+++ b/src/telemetry/metric/mod.rs
@@ -4,6 +4,7 @@
 //! formatted; with a dead one, lines are dropped and nobody waits.
 
 mod name;
+mod scrape;
 #[cfg(test)]
 mod tests;
 
@@ -19,6 +20,7 @@
 use super::log::Identity;
 
 pub use name::{Name, Unit};
+pub use scrape::{Scrape, text_name};
 
 /// Lines that wait for the collector at most.
 const QUEUE_LEN: usize = 8_192;
@@ -45,6 +47,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
     client: Option<Arc<StatsdClient>>,
+    scrape: Option<Arc<Scrape>>,
 }
 
 impl Metrics {
@@ -85,20 +88,33 @@
             .build();
         Self {
             client: Some(Arc::new(client)),
+            scrape: None,
+        }
+    }
+
+    /// Metrics that are kept in `scrape` until they are fetched.
+    #[must_use]
+    pub fn kept(scrape: Arc<Scrape>) -> Self {
+        Self {
+            client: None,
+            scrape: Some(scrape),
         }
     }
 
     /// Whether anything is sent at all.
     #[must_use]
     pub fn is_on(&self) -> bool {
-        self.client.is_some()
+        self.client.is_some() || self.scrape.is_some()
     }
 
     /// Adds `count` to a counter.
     pub fn count(&self, name: Name, count: u64, tags: &[Tag]) {
         if let Some(client) = &self.client {
-            let count = i64::try_from(count).unwrap_or(i64::MAX);
-            send(client.count_with_tags(name.as_str(), count), tags);
+            let signed = i64::try_from(count).unwrap_or(i64::MAX);
+            send(client.count_with_tags(name.as_str(), signed), tags);
+        }
+        if let Some(scrape) = &self.scrape {
+            scrape.count(name, count, tags);
         }
     }
 
@@ -107,6 +123,9 @@
         if let Some(client) = &self.client {
             send(client.gauge_with_tags(name.as_str(), value), tags);
         }
+        if let Some(scrape) = &self.scrape {
+            scrape.gauge(name, value, tags);
+        }
     }
 
     /// Adds a duration to a histogram, in whole microseconds.
@@ -115,6 +134,9 @@
             let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
             send(client.histogram_with_tags(name.as_str(), micros), tags);
         }
+        if let Some(scrape) = &self.scrape {
+            scrape.time(name, duration, tags);
+        }
     }
 }
 
