--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! Drives and measures real processes on loopback.
 
 pub mod demo;
+pub mod explain;
 pub mod fleet;
 pub mod http;
 pub mod load;
--- a/src/bin/monsooncove-bench/app.rs
+++ b/src/bin/monsooncove-bench/app.rs
@@ -1,3 +1,4 @@
+use std::io::Read;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -6,7 +7,7 @@
 use monsooncove::bench::demo::{self, Deployment, Run};
 use monsooncove::bench::fleet::Programs;
 use monsooncove::bench::report::Report;
-use monsooncove::bench::{load, overhead};
+use monsooncove::bench::{explain, load, overhead};
 use monsooncove::standin::caller::Protocol;
 use monsooncove::standin::{backend, store};
 use monsooncove::{Error, Result};
@@ -20,6 +21,7 @@
         Some(("demo", matches)) => run_demo(matches).await,
         Some(("load", matches)) => Ok(run_load(matches).await),
         Some(("overhead", matches)) => run_overhead(matches).await,
+        Some(("explain", matches)) => run_explain(matches),
         Some(("store", matches)) => run_store(matches).await,
         Some(("backend", matches)) => run_backend(matches).await,
         Some(("slopes", matches)) => crate::slopes::run(matches).await,
@@ -82,6 +84,29 @@
     Ok(overhead.figures.passes())
 }
 
+fn run_explain(matches: &ArgMatches) -> Result<bool> {
+    let mut text = String::new();
+    for name in matches.get_many::<String>("logs").into_iter().flatten() {
+        if name == "-" {
+            std::io::stdin().read_to_string(&mut text)?;
+        } else {
+            text += &std::fs::read_to_string(name)?;
+        }
+    }
+    let lines = explain::read(text.lines());
+    let Some(request) = matches.get_one::<String>("request") else {
+        let ids = usize::try_from(number(matches, "ids")).unwrap_or(usize::MAX);
+        print!("{}", explain::failed(&lines, ids));
+        return Ok(true);
+    };
+    let story = explain::story(&lines, request);
+    match &story {
+        Some(story) => print!("{story}"),
+        None => println!("no line names request {request}; it may have been a sampled success"),
+    }
+    Ok(story.is_some())
+}
+
 async fn run_store(matches: &ArgMatches) -> Result<bool> {
     let (listener, shutdown) = stand_in(matches).await?;
     store::serve(listener, store::Settings::default(), shutdown).await;
--- a/src/bin/monsooncove-bench/clap_app.rs
+++ b/src/bin/monsooncove-bench/clap_app.rs
@@ -9,6 +9,7 @@
         .subcommand(demo())
         .subcommand(load())
         .subcommand(overhead())
+        .subcommand(explain())
         .subcommand(store())
         .subcommand(backend())
         .subcommand(crate::policy::command())
@@ -65,6 +66,33 @@
         .arg(json())
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Follow a failed request through the decision lines of nodes")
+        .after_help("Exit codes: 0 found; 1 no line names the request; 2 a file cannot be read.")
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .num_args(1..)
+                .required(true)
+                .help("Files with log lines of nodes, in any order; - for standard input"),
+        )
+        .arg(
+            Arg::new("request")
+                .long("request")
+                .value_name("ID")
+                .help("Print the story of this request"),
+        )
+        .arg(
+            Arg::new("failed")
+                .long("failed")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("request")
+                .help("List requests that failed, by cause [default]"),
+        )
+        .arg(number("ids", "3", "Ids shown of each cause"))
+}
+
 fn store() -> Command {
     Command::new("store")
         .about("Run a stand-in of the key-value service until it is terminated")
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,7 +18,7 @@
 //! let links = peer::Links::new(peer::Settings::default(), observer.clone());
 //! let entry = Entry::new(Parts {
 //!     place,
-//!     service: executor.service.clone(),
+//!     service: "odber".to_owned(),
 //!     situations: executor.situations.clone(),
 //!     router: Arc::new(Mutex::new(router)),
 //!     executor,
