--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -358,8 +358,10 @@
         spawn_until(&path.upkeep, endpoint::serve(reports, Arc::clone(&desk)));
         spawn_until(&path.upkeep, endpoint::serve(ready, desk));
         if let Some(address) = settings.metrics_listen {
-            let metrics = bind(address).await?;
-            spawn_until(&path.upkeep, scrape::serve(metrics, scrape));
+            match bind(address).await {
+                Ok(listener) => spawn_until(&path.upkeep, scrape::serve(listener, scrape)),
+                Err(error) => log::warn!("metrics are not offered: {error}"),
+            }
         }
         let reporter = Reporter {
             handle: handle.clone(),
--- a/src/telemetry/metric/scrape.rs
+++ b/src/telemetry/metric/scrape.rs
@@ -114,8 +114,7 @@
     let plain = name.as_str().replace('.', "_");
     let unit = match name.unit() {
         Unit::Count => "_total",
-        Unit::Micros => "_seconds",
-        Unit::Seconds => "_seconds",
+        Unit::Micros | Unit::Seconds => "_seconds",
         Unit::ByteLevel => "_bytes",
         Unit::Level | Unit::CoreShare => "",
     };
