Refuse a waiting call once it can only be late, instead of holding it

A call now waits while it can meet its objective; then it is refused and may go to another gate, and one that is late already is served where a slot is free and waits nowhere. Replay: gate::tests::waiting, twice the load of a gate for two seconds.

--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -159,12 +159,12 @@
         self.situation.plan.route(self.route).terms.objective
     }
 
-    /// Time left in which the answer has its full worth; zero when there is none
-    /// or the plan does not say. A call past its objective may wait like any
-    /// other, so the gate is not told of it.
+    /// Time left in which the answer has its full worth; zero when the plan does
+    /// not say. After it, a gate is told of the shortest time there is, so that
+    /// the call is served where a slot is free and waits nowhere.
     pub(super) fn objective_left(&self, now: Time) -> Duration {
-        let objective = self.objective;
-        objective.map_or(Duration::ZERO, |objective| objective.since(now))
+        let left = |objective: Time| objective.since(now).max(Duration::from_micros(1));
+        self.objective.map_or(Duration::ZERO, left)
     }
 
     /// Stated worth of one answer.
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -183,7 +183,7 @@
         let drain_end = self
             .departure()
             .map(|at| at + self.settings.drain_queue_time);
-        let times = [self.queue.first_hopeless(), drain_end, self.pause.until()];
+        let times = [self.queue.first_due(), drain_end, self.pause.until()];
         let times = times.into_iter().chain([self.allowed_at]);
         times.flatten().min()
     }
@@ -283,8 +283,10 @@
 
     fn starts(&self, now: Time, arrival: &Arrival) -> Starts {
         let work = self.slowness.expect(now, self.work.least(arrival.kind));
+        let in_time = arrival.objective.map(|objective| before(objective, work));
         Starts {
-            in_time: arrival.objective.map(|objective| before(objective, work)),
+            // A call that is late already was let in because a slot is free.
+            in_time: in_time.filter(|&in_time| in_time > now),
             at_all: before(arrival.deadline, work),
         }
     }
@@ -392,7 +394,9 @@
         while let Some(ticket) = self.queue.pop_hopeless(now) {
             self.refuse(ticket, Reason::Deadline, actions);
         }
-        self.queue.demote(now);
+        while let Some(ticket) = self.queue.pop_late(now) {
+            self.refuse(ticket, Reason::Overloaded, actions);
+        }
         let expired = |since: Time| now.since(since) >= self.settings.drain_queue_time;
         if self.departure().is_some_and(expired) {
             let reason = self.closed(now).unwrap_or(Reason::Draining);
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -1,8 +1,8 @@
 //! Calls that wait at a gate.
 //!
-//! Calls that can still meet their objective go first; among them the highest
-//! worth, then the earliest deadline. A call that can only be late is served
-//! when nothing better waits.
+//! The highest worth goes first, then the earliest deadline. A call waits as long
+//! as it can still meet its objective; after that it is refused, so that it may
+//! go to another gate or come back.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,7 +14,6 @@
 /// Position of a waiting call. Smaller is admitted earlier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    late: bool,
     worth: Reverse<u32>,
     deadline: Time,
     sequence: u64,
@@ -99,24 +98,22 @@
         Some(ticket)
     }
 
-    /// Puts calls behind that cannot meet their objective any more.
-    pub(super) fn demote(&mut self, now: Time) {
-        while let Some(&(in_time, ticket)) = self.late.first() {
-            if in_time > now {
-                return;
-            }
-            self.late.remove(&(in_time, ticket));
-            if let Some(entry) = self.entries.get_mut(&ticket) {
-                self.by_rank.remove(&entry.rank);
-                entry.rank.late = true;
-                self.by_rank.insert(entry.rank, ticket);
-            }
+    /// Takes out one call that cannot meet its objective any more. Waiting on, it
+    /// would be late at best, and nobody would tell the caller to look elsewhere.
+    pub(super) fn pop_late(&mut self, now: Time) -> Option<Ticket> {
+        let &(in_time, ticket) = self.late.first()?;
+        if in_time > now {
+            return None;
         }
+        self.remove(ticket);
+        Some(ticket)
     }
 
-    pub(super) fn first_hopeless(&self) -> Option<Time> {
-        let &(at_all, _) = self.hopeless.first()?;
-        Some(at_all)
+    /// When the next call is to be taken out unless it is admitted before.
+    pub(super) fn first_due(&self) -> Option<Time> {
+        let hopeless = self.hopeless.first().map(|&(at_all, _)| at_all);
+        let late = self.late.first().map(|&(in_time, _)| in_time);
+        [hopeless, late].into_iter().flatten().min()
     }
 
     /// Calls that would be admitted before `arrival`.
@@ -134,7 +131,6 @@
 
     const fn rank(&self, arrival: &Arrival) -> Rank {
         Rank {
-            late: false,
             worth: Reverse(arrival.worth),
             deadline: arrival.deadline,
             sequence: self.sequence,
--- a/src/gate/tests/mod.rs
+++ b/src/gate/tests/mod.rs
@@ -3,3 +3,4 @@
 mod failures;
 mod harness;
 mod invariants;
+mod waiting;
--- /dev/null
+++ b/src/gate/tests/waiting.rs
@@ -0,0 +1,119 @@
+//! Which calls may wait, and for how long.
+
+use std::time::Duration;
+
+use super::harness::{Harness, settings};
+use crate::call::Reason;
+use crate::gate::{Arrival, Kind, Outcome, Settings, Ticket};
+
+const KIND: Kind = Kind(7);
+
+/// A full gate whose calls of `KIND` usually run for 100 ms.
+fn full() -> Harness {
+    let mut harness = Harness::new(Settings {
+        slow_ratio: f64::INFINITY,
+        queue_capacity: 64,
+        ..settings()
+    });
+    for number in 0..40 {
+        let ticket = ask(&mut harness, 1_000 + number, 10_000, None);
+        harness.pass(100);
+        let service_time = Duration::from_millis(100);
+        harness.finish(ticket, Outcome::Answered { service_time });
+    }
+    for number in 0..8 {
+        ask(&mut harness, 2_000 + number, 10_000, None);
+    }
+    assert_eq!(harness.gate.in_hand(), harness.gate.limit());
+    harness
+}
+
+fn ask(harness: &mut Harness, ticket: u64, deadline_ms: u64, objective_ms: Option<u64>) -> Ticket {
+    let after = |millis| harness.now + Duration::from_millis(millis);
+    let arrival = Arrival {
+        ticket: Ticket(ticket),
+        worth: 1,
+        deadline: after(deadline_ms),
+        objective: objective_ms.map(after),
+        kind: KIND,
+    };
+    let now = harness.now;
+    harness.gate.arrive(now, arrival, &mut harness.actions);
+    Ticket(ticket)
+}
+
+fn waits_while_it_can_be_in_time() {
+    let mut harness = full();
+    let call = ask(&mut harness, 1, 2_000, Some(300));
+    assert_eq!(harness.refused(call), None);
+    harness.answer(Ticket(2_000), 100);
+    assert!(harness.admitted(call));
+}
+
+fn refused_when_it_can_only_be_late() {
+    let mut harness = full();
+    let call = ask(&mut harness, 1, 2_000, Some(300));
+    harness.pass(230);
+    assert_eq!(harness.refused(call), Some(Reason::Overloaded));
+}
+
+fn late_call_is_served_where_a_slot_is_free() {
+    let mut harness = full();
+    let waiting = ask(&mut harness, 1, 2_000, Some(0));
+    assert_eq!(harness.refused(waiting), Some(Reason::Overloaded));
+    harness.answer(Ticket(2_000), 100);
+    let served = ask(&mut harness, 2, 2_000, Some(0));
+    assert!(harness.admitted(served));
+}
+
+/// Twice what the gate can serve, for two seconds.
+fn lasting_overload() -> Vec<u64> {
+    let mut harness = full();
+    let mut running: Vec<(Ticket, u64)> =
+        (2_000..2_008).map(|ticket| (Ticket(ticket), 100)).collect();
+    let mut asked = Vec::new();
+    let mut waits = Vec::new();
+    for millis in 0..2_000_u64 {
+        if millis % 6 == 0 {
+            let call = ask(&mut harness, 10_000 + millis, 1_000, Some(300));
+            asked.push((call, millis));
+        }
+        harness.pass(1);
+        for (call, since) in std::mem::take(&mut asked) {
+            if harness.admitted(call) {
+                running.push((call, millis + 100));
+                waits.push(millis - since);
+            } else if harness.refused(call).is_none() {
+                asked.push((call, since));
+            }
+        }
+        for (call, end) in std::mem::take(&mut running) {
+            if end <= millis {
+                harness.answer(call, 100);
+            } else {
+                running.push((call, end));
+            }
+        }
+    }
+    waits
+}
+
+fn overload_leaves_the_admitted_in_time() {
+    let waits = lasting_overload();
+    assert!(waits.len() > 120, "{} calls were admitted", waits.len());
+    assert!(waits.iter().all(|&wait| wait + 80 <= 300), "{waits:?}");
+}
+
+cases! {
+    call_waits_while_it_can_meet_its_objective: waits_while_it_can_be_in_time();
+    call_that_can_only_be_late_is_refused_not_held: refused_when_it_can_only_be_late();
+    call_past_its_objective_is_served_where_a_slot_is_free:
+        late_call_is_served_where_a_slot_is_free();
+    call_that_cannot_end_before_its_deadline_is_not_started: {
+        let mut harness = full();
+        harness.answer(Ticket(2_000), 100);
+        let call = ask(&mut harness, 1, 60, None);
+        assert_eq!(harness.refused(call), Some(Reason::Deadline));
+    };
+    lasting_overload_leaves_those_that_are_admitted_in_time: overload_leaves_the_admitted_in_time();
+}
