Split hosted node, gate and direct membership by job

Settings and words of the hosted node, the outlook of the gate, and what the tasks of direct membership share are files of their own; no behaviour changes.

--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -13,7 +13,7 @@
 use super::life::{Drain, Phase};
 use super::limit::Limit;
 use super::pause::Pause;
-use super::queue::{Queue, Starts};
+use super::queue::Queue;
 use super::slowness::Slowness;
 use super::work::Work;
 use super::{Action, Arrival, Kind, Load, Outcome, Settings, Sign, State, Ticket};
@@ -24,23 +24,23 @@
 /// Admission to one backend server.
 #[derive(Debug)]
 pub struct Gate {
-    settings: Settings,
+    pub(super) settings: Settings,
     phase: Phase,
     says_cold: bool,
     zone_out_since: Option<Time>,
-    cold_until: Time,
-    allowance: Allowance,
+    pub(super) cold_until: Time,
+    pub(super) allowance: Allowance,
     /// When the cold allowance lets the next waiting call through.
     allowed_at: Option<Time>,
-    slowness: Slowness,
+    pub(super) slowness: Slowness,
     boots: Boots,
     collapse: Collapse,
-    limit: Limit,
+    pub(super) limit: Limit,
     pause: Pause,
     running: BTreeMap<Ticket, Kind>,
     waiting: BTreeMap<Ticket, Kind>,
-    work: Work,
-    queue: Queue,
+    pub(super) work: Work,
+    pub(super) queue: Queue,
 }
 
 impl Gate {
@@ -242,72 +242,6 @@
         self.pause.is_closed(now).then_some(Reason::Unreachable)
     }
 
-    /// A call is not let in to wait when it could be answered in time elsewhere
-    /// only: while it waits here, it takes the place of one that can.
-    fn too_late(&self, now: Time, arrival: &Arrival) -> Option<Reason> {
-        let least = self.work.least(arrival.kind);
-        let work = self.slowness.expect(now, least);
-        let ahead = self.queue.ahead_of(arrival);
-        let turn = self.turn(now, ahead).max(self.cold_turn(now, ahead));
-        if now + least >= arrival.deadline {
-            return Some(Reason::Deadline);
-        }
-        let untold = arrival.kind == Kind::UNTOLD;
-        let end = if untold && turn > now {
-            turn + self.limit.service_time()
-        } else {
-            turn + work
-        };
-        if end >= arrival.deadline {
-            return Some(if untold {
-                Reason::Deadline
-            } else {
-                Reason::Overloaded
-            });
-        }
-        let waits_in_vain = |objective: Time| turn > now && end > objective;
-        let in_vain = arrival.objective.is_some_and(waits_in_vain);
-        in_vain.then_some(Reason::Overloaded)
-    }
-
-    /// When a slot is expected to be free for a call that has `queued` before it.
-    fn turn(&self, now: Time, queued: usize) -> Time {
-        let limit = self.limit();
-        let ahead = self.in_hand() + count(queued);
-        let Some(over) = ahead.checked_sub(limit) else {
-            return now;
-        };
-        let service_time = self.slowness.expect(now, self.limit.service_time());
-        now + service_time * (over + 1) / limit.max(1)
-    }
-
-    fn starts(&self, now: Time, arrival: &Arrival) -> Starts {
-        let work = self.slowness.expect(now, self.work.least(arrival.kind));
-        let in_time = arrival.objective.map(|objective| before(objective, work));
-        Starts {
-            // A call that is late already was let in because a slot is free.
-            in_time: in_time.filter(|&in_time| in_time > now),
-            at_all: before(arrival.deadline, work),
-        }
-    }
-
-    /// When the cold allowance lets a call through that has `ahead` before it.
-    fn cold_turn(&self, now: Time, ahead: usize) -> Time {
-        match self.cold_rate(now) {
-            Some(per_s) => {
-                let turns = Duration::from_secs(1) * count(ahead) / per_s.max(1);
-                self.allowance.next(now, per_s) + turns
-            }
-            None => now,
-        }
-    }
-
-    /// Calls a second that may be admitted, while the backend server is cold.
-    fn cold_rate(&self, now: Time) -> Option<u32> {
-        let per_s = self.settings.cold_per_s;
-        per_s.filter(|_| now < self.cold_until)
-    }
-
     fn departure(&self) -> Option<Time> {
         let drained = self.phase.drain().map(|(_, since)| since);
         match (drained, self.zone_out_since) {
@@ -435,11 +369,6 @@
     }
 }
 
-/// The time `duration` before `time`.
-fn before(time: Time, duration: Duration) -> Time {
-    Time::ZERO + time.since(Time::ZERO).saturating_sub(duration)
-}
-
-fn count(length: usize) -> u32 {
+pub(super) fn count(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX)
 }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod life;
 mod limit;
 mod load;
+mod outlook;
 mod pause;
 mod queue;
 mod settings;
--- /dev/null
+++ b/src/gate/outlook.rs
@@ -0,0 +1,83 @@
+//! When a call is expected to start and to end at this gate.
+
+use std::time::Duration;
+
+use crate::call::Reason;
+use crate::clock::Time;
+
+use super::admission::count;
+use super::queue::Starts;
+use super::{Arrival, Gate, Kind};
+
+impl Gate {
+    /// A call is not let in to wait when it could be answered in time elsewhere
+    /// only: while it waits here, it takes the place of one that can.
+    pub(super) fn too_late(&self, now: Time, arrival: &Arrival) -> Option<Reason> {
+        let least = self.work.least(arrival.kind);
+        let work = self.slowness.expect(now, least);
+        let ahead = self.queue.ahead_of(arrival);
+        let turn = self.turn(now, ahead).max(self.cold_turn(now, ahead));
+        if now + least >= arrival.deadline {
+            return Some(Reason::Deadline);
+        }
+        let untold = arrival.kind == Kind::UNTOLD;
+        let end = if untold && turn > now {
+            turn + self.limit.service_time()
+        } else {
+            turn + work
+        };
+        if end >= arrival.deadline {
+            return Some(if untold {
+                Reason::Deadline
+            } else {
+                Reason::Overloaded
+            });
+        }
+        let waits_in_vain = |objective: Time| turn > now && end > objective;
+        let in_vain = arrival.objective.is_some_and(waits_in_vain);
+        in_vain.then_some(Reason::Overloaded)
+    }
+
+    /// When a slot is expected to be free for a call that has `queued` before it.
+    pub(super) fn turn(&self, now: Time, queued: usize) -> Time {
+        let limit = self.limit();
+        let ahead = self.in_hand() + count(queued);
+        let Some(over) = ahead.checked_sub(limit) else {
+            return now;
+        };
+        let service_time = self.slowness.expect(now, self.limit.service_time());
+        now + service_time * (over + 1) / limit.max(1)
+    }
+
+    pub(super) fn starts(&self, now: Time, arrival: &Arrival) -> Starts {
+        let work = self.slowness.expect(now, self.work.least(arrival.kind));
+        let in_time = arrival.objective.map(|objective| before(objective, work));
+        Starts {
+            // A call that is late already was let in because a slot is free.
+            in_time: in_time.filter(|&in_time| in_time > now),
+            at_all: before(arrival.deadline, work),
+        }
+    }
+
+    /// When the cold allowance lets a call through that has `ahead` before it.
+    pub(super) fn cold_turn(&self, now: Time, ahead: usize) -> Time {
+        match self.cold_rate(now) {
+            Some(per_s) => {
+                let turns = Duration::from_secs(1) * count(ahead) / per_s.max(1);
+                self.allowance.next(now, per_s) + turns
+            }
+            None => now,
+        }
+    }
+
+    /// Calls a second that may be admitted, while the backend server is cold.
+    pub(super) fn cold_rate(&self, now: Time) -> Option<u32> {
+        let per_s = self.settings.cold_per_s;
+        per_s.filter(|_| now < self.cold_until)
+    }
+}
+
+/// The time `duration` before `time`.
+fn before(time: Time, duration: Duration) -> Time {
+    Time::ZERO + time.since(Time::ZERO).saturating_sub(duration)
+}
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -7,37 +7,32 @@
 mod endpoint;
 mod reload;
 mod scrape;
+mod settings;
+mod word;
 
-use std::fmt;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use super::Stop;
 use super::control::Reading;
 use super::observe::Telemetry;
 use super::path::{Blueprint, Path, spawn_until};
 use super::report::Reporter;
 use super::stop::Orders;
-use super::{Stop, Tuning};
-use crate::backend::registry::{self, Reaction, Registry, Report};
-use crate::backend::{self, Current, Http};
+use crate::backend::registry::{self, Registry};
+use crate::backend::{Current, Http};
 use crate::call::{Admission, Ids, Observer, Situations};
 use crate::clock::Clock;
 use crate::dialect::Dialect;
-use crate::entry;
-use crate::gate::{self, Gate};
+use crate::gate::Gate;
 use crate::membership::direct::{self, Member, Source};
 use crate::membership::{Epoch, Instance, State};
-use crate::peer::{self, Links};
-use crate::routing::{self, Place};
+use crate::peer::Links;
 use crate::store::Client;
 use crate::telemetry::decision::Decisions;
 use crate::telemetry::journal::Journal;
@@ -47,168 +42,8 @@
 use crate::{Error, Result, telemetry};
 
 pub use reload::{Reload, Reloaded};
-
-/// What such a node is told at its start.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Where the node runs.
-    pub place: Place,
-    /// Service beside the node.
-    pub service: String,
-    /// The backend server.
-    pub backend_server: SocketAddr,
-    /// Where callers are accepted.
-    pub caller_listen: SocketAddr,
-    /// Where calls from other nodes are accepted.
-    pub peer_listen: SocketAddr,
-    /// Where the backend server reports.
-    pub report_listen: SocketAddr,
-    /// Where the platform asks whether the node is ready.
-    pub ready_listen: SocketAddr,
-    /// Where metrics are fetched, when they are.
-    pub metrics_listen: Option<SocketAddr>,
-    /// Lines below this level are not logged.
-    pub log_level: log::LevelFilter,
-    /// Time in which callers are answered and sent elsewhere before the node
-    /// closes its address.
-    pub linger: Duration,
-    /// Longest time from the order to stop to the end.
-    pub grace: Duration,
-    /// Seed of routing decisions.
-    pub seed: u64,
-    /// How the backend server is looked after.
-    pub registry: registry::Settings,
-    /// Connections to the backend server.
-    pub backend: backend::Settings,
-    /// How the node follows the store.
-    pub membership: direct::Settings,
-    /// Settings of the slices on the data path.
-    pub tuning: Tuning,
-}
-
-/// Share of the grace that a node uses; the rest covers its end.
-pub const GRACE_SHARE: f64 = 0.8;
-
-/// An address that nobody listens at.
-const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            place: Place::default(),
-            service: String::new(),
-            backend_server: NOWHERE,
-            caller_listen: NOWHERE,
-            peer_listen: NOWHERE,
-            report_listen: NOWHERE,
-            ready_listen: NOWHERE,
-            metrics_listen: None,
-            log_level: log::LevelFilter::Info,
-            linger: Duration::from_millis(2_300),
-            grace: Duration::from_millis(4_800),
-            seed: 0,
-            registry: registry::Settings {
-                gate: gate(),
-                ..registry::Settings::default()
-            },
-            backend: backend::Settings {
-                connect_timeout: Duration::from_millis(300),
-                max_idle: Duration::from_secs(6),
-                max_idle_fresh: Duration::from_secs(4),
-                ..backend::Settings::default()
-            },
-            membership: direct::Settings::default(),
-            tuning: tuning(),
-        }
-    }
-}
-
-/// The backend servers state their slots and their coldness, and differ in the
-/// work of their calls, so neither is learned from the time of answers.
-fn gate() -> gate::Settings {
-    gate::Settings {
-        fill: 0.8,
-        queue_capacity: 128,
-        initial_service_time: Duration::from_millis(100),
-        slow_ratio: f64::INFINITY,
-        pause_max: Duration::from_secs(1),
-        ..gate::Settings::default()
-    }
-}
-
-fn tuning() -> Tuning {
-    Tuning {
-        entry: entry::Settings {
-            forwards_home: true,
-            free_refusals: true,
-            retry_after: Duration::from_millis(100),
-            copy_after: 0.5,
-            held_answer_bytes: 64 * 1024,
-            ..entry::Settings::default()
-        },
-        peer: peer::Settings {
-            connect_timeout: Duration::from_millis(300),
-            ping_interval: Duration::from_millis(300),
-            ping_timeout: Duration::from_millis(900),
-            ..peer::Settings::default()
-        },
-        routing: routing::Settings {
-            initial_service_time: Duration::from_millis(100),
-            service_time_half_life: Duration::from_millis(300),
-            recall_reserve: f64::INFINITY,
-            retry_ratio: 0.06,
-            retry_burst: 2.0,
-            retry_floor_per_s: 0.0,
-            copy_ratio: 0.06,
-            copy_burst: 1.0,
-            calls_half_life: 2.0,
-            ..routing::Settings::default()
-        },
-        follows_loads: true,
-    }
-}
-
-/// What is said to a node beside calls.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Word {
-    /// The platform asks whether the node is ready.
-    Ready,
-    /// A backend server reports.
-    Report(Report),
-    /// A backend server leaves.
-    Leave {
-        /// Name of the process.
-        process: String,
-        /// When it was started, in milliseconds since 1970, where it said so.
-        born_ms: Option<u64>,
-    },
-    /// It cannot be read, for this reason.
-    Unreadable(String),
-    /// There is nothing at this path.
-    Unknown,
-}
-
-/// What a node answers.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reply {
-    /// Whether it is ready.
-    Ready(bool),
-    /// It has taken the word of the backend server in.
-    Taken(Reaction),
-    /// It could not read it, for this reason.
-    Unreadable(String),
-    /// There is nothing at this path.
-    Unknown,
-}
-
-/// Translates the words of a platform.
-pub trait Host: fmt::Debug + Send + Sync + 'static {
-    /// Reads what is said to the node.
-    fn read(&self, request: &Request<Bytes>) -> Word;
-
-    /// Writes what the node answers.
-    fn write(&self, reply: &Reply) -> Response<Full<Bytes>>;
-}
+pub use settings::{GRACE_SHARE, Settings};
+pub use word::{Host, Reply, Word};
 
 /// The translations that a platform brings.
 #[derive(Debug)]
--- /dev/null
+++ b/src/node/hosted/settings.rs
@@ -0,0 +1,130 @@
+//! Settings of a hosted node, with what fits shared machines of a platform.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use crate::backend::registry;
+use crate::membership::direct;
+use crate::node::Tuning;
+use crate::routing::{self, Place};
+use crate::{backend, entry, gate, peer};
+
+/// What such a node is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where the node runs.
+    pub place: Place,
+    /// Service beside the node.
+    pub service: String,
+    /// The backend server.
+    pub backend_server: SocketAddr,
+    /// Where callers are accepted.
+    pub caller_listen: SocketAddr,
+    /// Where calls from other nodes are accepted.
+    pub peer_listen: SocketAddr,
+    /// Where the backend server reports.
+    pub report_listen: SocketAddr,
+    /// Where the platform asks whether the node is ready.
+    pub ready_listen: SocketAddr,
+    /// Where metrics are fetched, when they are.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Lines below this level are not logged.
+    pub log_level: log::LevelFilter,
+    /// Time in which callers are answered and sent elsewhere before the node
+    /// closes its address.
+    pub linger: Duration,
+    /// Longest time from the order to stop to the end.
+    pub grace: Duration,
+    /// Seed of routing decisions.
+    pub seed: u64,
+    /// How the backend server is looked after.
+    pub registry: registry::Settings,
+    /// Connections to the backend server.
+    pub backend: backend::Settings,
+    /// How the node follows the store.
+    pub membership: direct::Settings,
+    /// Settings of the slices on the data path.
+    pub tuning: Tuning,
+}
+
+/// Share of the grace that a node uses; the rest covers its end.
+pub const GRACE_SHARE: f64 = 0.8;
+
+/// An address that nobody listens at.
+const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            place: Place::default(),
+            service: String::new(),
+            backend_server: NOWHERE,
+            caller_listen: NOWHERE,
+            peer_listen: NOWHERE,
+            report_listen: NOWHERE,
+            ready_listen: NOWHERE,
+            metrics_listen: None,
+            log_level: log::LevelFilter::Info,
+            linger: Duration::from_millis(2_300),
+            grace: Duration::from_millis(4_800),
+            seed: 0,
+            registry: registry::Settings {
+                gate: gate(),
+                ..registry::Settings::default()
+            },
+            backend: backend::Settings {
+                connect_timeout: Duration::from_millis(300),
+                max_idle: Duration::from_secs(6),
+                max_idle_fresh: Duration::from_secs(4),
+                ..backend::Settings::default()
+            },
+            membership: direct::Settings::default(),
+            tuning: tuning(),
+        }
+    }
+}
+
+/// The backend servers state their slots and their coldness, and differ in the
+/// work of their calls, so neither is learned from the time of answers.
+fn gate() -> gate::Settings {
+    gate::Settings {
+        fill: 0.8,
+        queue_capacity: 128,
+        initial_service_time: Duration::from_millis(100),
+        slow_ratio: f64::INFINITY,
+        pause_max: Duration::from_secs(1),
+        ..gate::Settings::default()
+    }
+}
+
+fn tuning() -> Tuning {
+    Tuning {
+        entry: entry::Settings {
+            forwards_home: true,
+            free_refusals: true,
+            retry_after: Duration::from_millis(100),
+            copy_after: 0.5,
+            held_answer_bytes: 64 * 1024,
+            ..entry::Settings::default()
+        },
+        peer: peer::Settings {
+            connect_timeout: Duration::from_millis(300),
+            ping_interval: Duration::from_millis(300),
+            ping_timeout: Duration::from_millis(900),
+            ..peer::Settings::default()
+        },
+        routing: routing::Settings {
+            initial_service_time: Duration::from_millis(100),
+            service_time_half_life: Duration::from_millis(300),
+            recall_reserve: f64::INFINITY,
+            retry_ratio: 0.06,
+            retry_burst: 2.0,
+            retry_floor_per_s: 0.0,
+            copy_ratio: 0.06,
+            copy_burst: 1.0,
+            calls_half_life: 2.0,
+            ..routing::Settings::default()
+        },
+        follows_loads: true,
+    }
+}
