--- a/src/telemetry/journal.rs
+++ b/src/telemetry/journal.rs
@@ -4,6 +4,9 @@
 //! nobody waits for a reader that is slow or gone. Over the bound, lines are
 //! dropped by importance, and a line tells how many of which kind.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::VecDeque;
 use std::fmt;
 use std::io::Write;
