Begin calls when a slow spell has ended, and ask for the speed before

A call runs at the speed at which it is begun. Ruled out: queues (3 to 4 of 7 slots in use), slow spells that begin while a call runs (no effect on it).

Change: the gate lets a call wait when the end of the spell and the work after it come before the end of the work begun now; it asks for the speed when what it knows is older than 10 ms, 30 times a second at most. Spell lengths are learned; work times are learned from the speed at the begin.

The test of the wire's later numbers counts six numbers now, not five; the golden bytes gained the new one. busy_neighbours_leave_calls_in_time fails without the wait.

--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -166,7 +166,10 @@
             {
                 self.probed(&plan, &health);
             }
-            sleep(self.parts.settings.probe_interval).await;
+            tokio::select! {
+                () = sleep(self.parts.settings.probe_interval) => {}
+                () = self.parts.admission.asked() => {}
+            }
         }
     }
 
--- a/src/bench/policy/server.rs
+++ b/src/bench/policy/server.rs
@@ -189,6 +189,8 @@
                         self.start(state, now, ticket, job);
                     }
                 }
+                // Nobody told this gate a speed.
+                Action::Ask => {}
                 Action::Refuse(ticket, reason) => {
                     if let Some(job) = state.waiting.remove(&ticket) {
                         job.reply(Outcome::Refused(reason), state.gate.load(now));
--- a/src/routing/bucket.rs
+++ b/src/bucket.rs
@@ -4,7 +4,7 @@
 
 /// Tokens that refill with time and with events, up to a capacity.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Bucket {
+pub(crate) struct Bucket {
     tokens: f64,
     capacity: f64,
     per_s: f64,
@@ -12,7 +12,7 @@
 }
 
 impl Bucket {
-    pub(super) const fn full(capacity: f64, per_s: f64, now: Time) -> Self {
+    pub(crate) const fn full(capacity: f64, per_s: f64, now: Time) -> Self {
         Self {
             tokens: capacity,
             capacity,
@@ -21,18 +21,18 @@
         }
     }
 
-    pub(super) fn add(&mut self, tokens: f64) {
+    pub(crate) fn add(&mut self, tokens: f64) {
         self.tokens = (self.tokens + tokens).min(self.capacity);
     }
 
-    pub(super) fn has(&mut self, now: Time, tokens: f64) -> bool {
+    pub(crate) fn has(&mut self, now: Time, tokens: f64) -> bool {
         let passed = now.since(self.refilled);
         self.refilled = self.refilled.max(now);
         self.add(passed.as_secs_f64() * self.per_s);
         self.tokens >= tokens
     }
 
-    pub(super) fn take(&mut self, now: Time, tokens: f64) -> bool {
+    pub(crate) fn take(&mut self, now: Time, tokens: f64) -> bool {
         let enough = self.has(now, tokens);
         if enough {
             self.tokens -= tokens;
--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -26,6 +26,7 @@
     inner: Mutex<Inner>,
     clock: Clock,
     rescheduled: Notify,
+    asked: Arc<Notify>,
     loads: watch::Sender<Load>,
 }
 
@@ -34,6 +35,7 @@
     waiting: BTreeMap<u64, oneshot::Sender<Verdict>>,
     next_ticket: u64,
     actions: Vec<Action>,
+    asked: Arc<Notify>,
 }
 
 impl fmt::Debug for Admission {
@@ -46,15 +48,18 @@
     /// Puts `gate` to work.
     #[must_use]
     pub fn new(gate: Gate, clock: Clock) -> Arc<Self> {
+        let asked = Arc::new(Notify::new());
         Arc::new(Self {
             inner: Mutex::new(Inner {
                 gate,
                 waiting: BTreeMap::new(),
                 next_ticket: 0,
                 actions: Vec::new(),
+                asked: Arc::clone(&asked),
             }),
             clock,
             rescheduled: Notify::new(),
+            asked,
             loads: watch::Sender::new(Load::default()),
         })
     }
@@ -104,6 +109,11 @@
         self.update(|gate, now, actions| gate.sign(now, sign, actions));
     }
 
+    /// Waits until the gate wants to know how fast the backend server is now.
+    pub async fn asked(&self) {
+        self.asked.notified().await;
+    }
+
     /// Puts new settings in force.
     pub fn configure(&self, settings: Settings) {
         self.update(|gate, now, actions| gate.configure(now, settings, actions));
@@ -236,6 +246,7 @@
         let (ticket, verdict) = match action {
             Action::Admit(ticket) => (ticket, Ok(())),
             Action::Refuse(ticket, reason) => (ticket, Err(*reason)),
+            Action::Ask => return self.asked.notify_one(),
         };
         if let Some(waiting) = self.waiting.remove(&ticket.0) {
             let _ = waiting.send(verdict);
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -8,6 +8,7 @@
 use crate::clock::Time;
 
 use super::allowance::Allowance;
+use super::asking::{Asking, Step};
 use super::boots::Boots;
 use super::collapse::{self, Collapse};
 use super::life::{Drain, Phase};
@@ -21,6 +22,14 @@
 /// A backend server that has not said for how long it is cold may be cold.
 const UNTIL_TOLD: Time = Time::from_micros(u64::MAX);
 
+/// A call that runs.
+#[derive(Clone, Copy, Debug)]
+struct Begun {
+    kind: Kind,
+    /// Times slower than usual that the machine was when it was begun.
+    slowness: f64,
+}
+
 /// Admission to one backend server.
 #[derive(Debug)]
 pub struct Gate {
@@ -33,11 +42,14 @@
     /// When the cold allowance lets the next waiting call through.
     allowed_at: Option<Time>,
     pub(super) slowness: Slowness,
+    asking: Asking,
+    /// When the speed is looked at again for calls that wait for it.
+    looks_at: Option<Time>,
     boots: Boots,
     collapse: Collapse,
     pub(super) limit: Limit,
     pause: Pause,
-    running: BTreeMap<Ticket, Kind>,
+    running: BTreeMap<Ticket, Begun>,
     waiting: BTreeMap<Ticket, Kind>,
     pub(super) work: Work,
     pub(super) queue: Queue,
@@ -56,6 +68,8 @@
             allowance: Allowance::default(),
             allowed_at: None,
             slowness: Slowness::default(),
+            asking: Asking::new(&settings, now),
+            looks_at: None,
             boots: Boots::default(),
             collapse: Collapse::default(),
             limit: Limit::new(&settings, now),
@@ -91,11 +105,11 @@
         outcome: Outcome,
         actions: &mut Vec<Action>,
     ) {
-        let Some(kind) = self.running.remove(&ticket) else {
+        let Some(begun) = self.running.remove(&ticket) else {
             return;
         };
         match outcome {
-            Outcome::Answered { service_time } => self.answered(now, kind, service_time),
+            Outcome::Answered { service_time } => self.answered(now, begun, service_time),
             Outcome::Failed => self.failed(now, actions),
             Outcome::Shed => self.limit.shrink(now),
             Outcome::Unreachable => self.unreachable(now, actions),
@@ -129,7 +143,10 @@
                 self.transition(Phase::fell);
             }
             Sign::ColdFor(time) => self.cold_until = now + time,
-            Sign::Slowness(hundredths) => self.slowness.told(now, hundredths),
+            Sign::Slowness(hundredths) => {
+                self.slowness.told(now, hundredths);
+                self.asking.told();
+            }
             Sign::Reachable => self.pause.reached(),
             Sign::Serving => self.says_cold = false,
             Sign::Draining => {
@@ -184,19 +201,21 @@
             .departure()
             .map(|at| at + self.settings.drain_queue_time);
         let times = [self.queue.first_due(), drain_end, self.pause.until()];
-        let times = times.into_iter().chain([self.allowed_at]);
+        let times = times.into_iter().chain([self.allowed_at, self.looks_at]);
         times.flatten().min()
     }
 
     /// What entries are told.
     #[must_use]
     pub fn load(&self, now: Time) -> Load {
+        let outlook = self.slowness.outlook(now, self.limit.service_time());
         Load {
             in_hand: self.in_hand(),
             queued: self.queued(),
             limit: self.limit(),
-            service_time: self.slowness.expect(now, self.limit.service_time()),
+            service_time: outlook.work,
             accepting: self.closed(now).is_none(),
+            delay: outlook.delay,
         }
     }
 
@@ -250,10 +269,10 @@
         }
     }
 
-    fn answered(&mut self, now: Time, kind: Kind, service_time: Duration) {
+    fn answered(&mut self, now: Time, begun: Begun, service_time: Duration) {
         let in_hand = self.in_hand();
-        let service_time = service_time.div_f64(self.slowness.factor());
-        self.work.sample(kind, service_time);
+        let service_time = service_time.div_f64(begun.slowness);
+        self.work.sample(begun.kind, service_time);
         let slowness = self.limit.slowness(service_time);
         let is_low = in_hand <= self.settings.slots / 2;
         if self.collapse.answered(now, slowness, is_low) {
@@ -297,21 +316,52 @@
     fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.expire(now, actions);
         self.allowed_at = None;
+        self.looks_at = None;
         while self.in_hand() < self.limit() && !self.pause.is_closed(now) {
-            if !self.allows(now) {
+            if self.queue.is_empty() || !self.allows(now) {
                 break;
             }
-            let Some(ticket) = self.queue.pop_first() else {
+            let Some(ticket) = self.next_begin(now, actions) else {
+                self.looks_at = self.asking.next(&self.settings, &self.slowness);
                 break;
             };
-            self.allowance.note(now);
-            let kind = self.waiting.remove(&ticket).unwrap_or_default();
-            self.running.insert(ticket, kind);
+            self.begin(now, ticket);
             actions.push(Action::Admit(ticket));
         }
         self.settle_empty();
     }
 
+    /// The call that is begun next; none while all are better begun later, or
+    /// while the speed of the backend server is not known well enough to tell.
+    fn next_begin(&mut self, now: Time, actions: &mut Vec<Action>) -> Option<Ticket> {
+        match self.asking.step(now, &self.settings, &self.slowness) {
+            Step::Begin => {}
+            Step::Ask => {
+                actions.push(Action::Ask);
+                return None;
+            }
+            Step::Wait => return None,
+        }
+        let held = |ticket| self.is_better_later(now, ticket);
+        self.queue.tickets().find(|&ticket| !held(ticket))
+    }
+
+    fn is_better_later(&self, now: Time, ticket: Ticket) -> bool {
+        let kind = self.waiting.get(&ticket).copied().unwrap_or_default();
+        let usual = self.work.usual(kind);
+        !self.slowness.outlook(now, usual).delay.is_zero()
+    }
+
+    fn begin(&mut self, now: Time, ticket: Ticket) {
+        self.queue.remove(ticket);
+        self.allowance.note(now);
+        let begun = Begun {
+            kind: self.waiting.remove(&ticket).unwrap_or_default(),
+            slowness: self.slowness.factor(),
+        };
+        self.running.insert(ticket, begun);
+    }
+
     /// Whether the cold allowance lets one more call through now.
     fn allows(&mut self, now: Time) -> bool {
         let Some(per_s) = self.cold_rate(now) else {
--- a/src/gate/load.rs
+++ b/src/gate/load.rs
@@ -19,6 +19,10 @@
     pub service_time: Duration,
     /// Whether new work is taken at all.
     pub accepting: bool,
+    /// Time until calls are begun again, while the gate waits for the end of a
+    /// slow spell; sent in microseconds.
+    #[serde(with = "micros")]
+    pub delay: Duration,
 }
 
 /// Share by which the expected time of a call must change to be told.
@@ -36,6 +40,7 @@
         let calls_now = now.in_hand + now.queued;
         self.accepting != now.accepting
             || self.limit != now.limit
+            || self.delay.is_zero() != now.delay.is_zero()
             || calls.abs_diff(calls_now) >= TOLD_CALLS
             || change > before * TOLD_SHARE
     }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod allowance;
+mod asking;
 mod boots;
 mod collapse;
 mod life;
@@ -66,6 +67,8 @@
     Admit(Ticket),
     /// Answer that the call was not run.
     Refuse(Ticket, Reason),
+    /// Ask the backend server how fast it is now; [`Sign::Slowness`] tells.
+    Ask,
 }
 
 /// How an admitted call ended.
@@ -95,7 +98,7 @@
     Cold,
     /// It says for how long it will be cold; zero when it is not.
     ColdFor(Duration),
-    /// Work takes this many hundredths of its usual time now.
+    /// Work that is begun now takes this many hundredths of its usual time.
     Slowness(u32),
     /// It says that it is serving.
     Serving,
--- a/src/gate/outlook.rs
+++ b/src/gate/outlook.rs
@@ -14,9 +14,10 @@
     /// only: while it waits here, it takes the place of one that can.
     pub(super) fn too_late(&self, now: Time, arrival: &Arrival) -> Option<Reason> {
         let least = self.work.least(arrival.kind);
-        let work = self.slowness.expect(now, least);
+        let outlook = self.slowness.outlook(now, least);
         let ahead = self.queue.ahead_of(arrival);
         let turn = self.turn(now, ahead).max(self.cold_turn(now, ahead));
+        let turn = turn.max(now + outlook.delay);
         if now + least >= arrival.deadline {
             return Some(Reason::Deadline);
         }
@@ -24,7 +25,7 @@
         let end = if untold && turn > now {
             turn + self.limit.service_time()
         } else {
-            turn + work
+            turn + outlook.work
         };
         if end >= arrival.deadline {
             return Some(if untold {
@@ -45,12 +46,13 @@
         let Some(over) = ahead.checked_sub(limit) else {
             return now;
         };
-        let service_time = self.slowness.expect(now, self.limit.service_time());
+        let service_time = self.slowness.outlook(now, self.limit.service_time()).work;
         now + service_time * (over + 1) / limit.max(1)
     }
 
     pub(super) fn starts(&self, now: Time, arrival: &Arrival) -> Starts {
-        let work = self.slowness.expect(now, self.work.least(arrival.kind));
+        let least = self.work.least(arrival.kind);
+        let work = self.slowness.outlook(now, least).work;
         let in_time = arrival.objective.map(|objective| before(objective, work));
         Starts {
             // A call that is late already was let in because a slot is free.
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -72,6 +72,11 @@
         self.entries.contains_key(&ticket)
     }
 
+    /// Waiting calls in the order in which they are to be admitted.
+    pub(super) fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.by_rank.values().copied()
+    }
+
     pub(super) fn pop_first(&mut self) -> Option<Ticket> {
         let ticket = *self.by_rank.first_key_value()?.1;
         self.remove(ticket);
--- a/src/gate/settings.rs
+++ b/src/gate/settings.rs
@@ -23,6 +23,11 @@
     pub initial_service_time: Duration,
     /// Longest time that calls queued before a departure may still be admitted.
     pub drain_queue_time: Duration,
+    /// Age at which the backend server is asked for its speed once more before a
+    /// call is begun. Speeds that nobody tells are not asked for.
+    pub speed_age: Duration,
+    /// Questions a second for the speed.
+    pub asks_per_s: f64,
     /// Failures in a row after which the gate stops admitting for a while.
     pub failure_streak: u32,
     /// Answers this many times slower than usual shrink the limit.
@@ -57,6 +62,8 @@
             queue_capacity: 32,
             initial_service_time: Duration::from_millis(10),
             drain_queue_time: Duration::from_secs(1),
+            speed_age: Duration::from_millis(10),
+            asks_per_s: 30.0,
             failure_streak: 3,
             slow_ratio: 5.0,
             pause_min: Duration::from_millis(100),
--- a/src/gate/tests/failures.rs
+++ b/src/gate/tests/failures.rs
@@ -197,6 +197,7 @@
         limit: 9,
         service_time: Duration::from_millis(60),
         accepting: true,
+        delay: Duration::ZERO,
     };
     let config = bincode::config::standard();
     let bytes = bincode::serde::encode_to_vec(load, config).expect("plain values");
--- a/src/gate/tests/invariants.rs
+++ b/src/gate/tests/invariants.rs
@@ -50,6 +50,7 @@
         Just(Sign::Serving),
         Just(Sign::Draining),
         Just(Sign::Unhealthy),
+        (50_u32..1_200).prop_map(Sign::Slowness),
     ]
 }
 
@@ -181,6 +182,7 @@
                 Action::Refuse(Ticket(ticket), _) => {
                     assert!(self.queued.remove(&ticket).is_some(), "refused twice");
                 }
+                Action::Ask => {}
             }
         }
     }
--- a/src/gate/tests/mod.rs
+++ b/src/gate/tests/mod.rs
@@ -3,4 +3,5 @@
 mod failures;
 mod harness;
 mod invariants;
+mod speed;
 mod waiting;
--- a/src/gate/work.rs
+++ b/src/gate/work.rs
@@ -32,9 +32,14 @@
         }
     }
 
+    /// Time that a call of `kind` usually runs; zero when unknown.
+    pub(super) fn usual(&self, kind: Kind) -> Duration {
+        let micros = self.usual.get(&kind).copied().unwrap_or_default();
+        Duration::from_secs_f64(micros / 1e6)
+    }
+
     /// Least time that a call of `kind` is expected to run; zero when unknown.
     pub(super) fn least(&self, kind: Kind) -> Duration {
-        let micros = self.usual.get(&kind).copied().unwrap_or_default();
-        Duration::from_secs_f64(micros * SHARE / 1e6)
+        self.usual(kind).mul_f64(SHARE)
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod backend;
 pub mod bench;
+mod bucket;
 pub mod call;
 pub mod clock;
 pub mod dialect;
--- a/src/peer/wire/field.rs
+++ b/src/peer/wire/field.rs
@@ -148,12 +148,13 @@
 /// Numbers only, so that numbers added later can be skipped.
 impl Field for Load {
     fn write<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let mut numbers = serializer.serialize_seq(Some(5))?;
+        let mut numbers = serializer.serialize_seq(Some(6))?;
         numbers.serialize_element(&u64::from(self.in_hand))?;
         numbers.serialize_element(&u64::from(self.queued))?;
         numbers.serialize_element(&u64::from(self.limit))?;
         numbers.serialize_element(&micros(self.service_time))?;
         numbers.serialize_element(&u64::from(self.accepting))?;
+        numbers.serialize_element(&micros(self.delay))?;
         numbers.end()
     }
 
@@ -182,6 +183,7 @@
                 2 => load.limit = small,
                 3 => load.service_time = Duration::from_micros(number),
                 4 => load.accepting = number != 0,
+                5 => load.delay = Duration::from_micros(number),
                 _ => {}
             }
             position += 1;
--- a/src/peer/wire/tests.rs
+++ b/src/peer/wire/tests.rs
@@ -31,6 +31,7 @@
     limit: 9,
     service_time: Duration::from_micros(1500),
     accepting: true,
+    delay: Duration::from_micros(900),
 };
 
 fn open() -> Open {
@@ -170,9 +171,9 @@
 fn skips_later_numbers_of_a_load() {
     let (_, payload) = pull_message(frame(kind::FAILED, &FAILED));
     let mut later = payload.to_vec();
-    let count = later.len() - 8;
-    assert_eq!(later[count], 5, "the count of numbers");
-    later[count] = 6;
+    let count = later.len() - 11;
+    assert_eq!(later[count], 6, "the count of numbers");
+    later[count] = 7;
     later.push(9);
     assert_eq!(read::<Failed>(kind::FAILED, &later), Ok(FAILED));
 }
--- a/src/routing/baseline.rs
+++ b/src/routing/baseline.rs
@@ -8,13 +8,13 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::bucket::Bucket;
 use crate::call::Reason;
 use crate::clock::Time;
 use crate::membership::{Situation, State};
 
 use crate::plan;
 
-use super::bucket::Bucket;
 use super::key::Backend;
 use super::{Ask, Choice, Chooser, Event, Settings};
 
--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -3,10 +3,10 @@
 //! Each node saves up a share of the calls that it makes, so that all nodes
 //! together stay within the sum without agreeing on any call.
 
+use crate::bucket::Bucket;
 use crate::clock::Time;
 
 use super::Settings;
-use super::bucket::Bucket;
 
 /// Retries and second copies of one service.
 #[derive(Debug)]
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -6,11 +6,11 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use crate::bucket::Bucket;
 use crate::call::Reason;
 use crate::clock::Time;
 
 use super::arena::Arena;
-use super::bucket::Bucket;
 use super::estimate::{Expected, micros};
 use super::key::Backend;
 use super::member::{Distance, Member};
--- a/src/routing/estimate.rs
+++ b/src/routing/estimate.rs
@@ -48,6 +48,8 @@
     others: f64,
     limit: f64,
     service_us: f64,
+    /// When the gate begins calls again.
+    begins: Time,
 }
 
 /// Load of one backend server.
@@ -98,6 +100,7 @@
             others,
             limit,
             service_us,
+            begins: now + load.delay,
         });
     }
 
@@ -126,8 +129,11 @@
         let service_us = reported_us.max(self.silence_us(now, reported_us * settings.silence_min));
         let total = others + f64::from(self.in_flight);
         let over = (total + 1.0 - limit).max(0.0);
+        let delay_us = self
+            .report
+            .map_or(0.0, |report| micros(report.begins.since(now)));
         Expected {
-            wait_us: over * service_us / limit,
+            wait_us: delay_us + over * service_us / limit,
             service_us,
             occupancy: (total / limit).min(1.0),
         }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -7,7 +7,6 @@
 
 mod arena;
 pub mod baseline;
-mod bucket;
 mod budget;
 mod candidates;
 mod chooser;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -6,13 +6,13 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::bucket::Bucket;
 use crate::call::Reason;
 use crate::clock::Time;
 use crate::gate::Load;
 use crate::membership::Situation;
 use crate::plan::{Route, key};
 
-use super::bucket::Bucket;
 use super::budget::Budget;
 use super::candidates::{Candidate, Draw};
 use super::directory::Directory;
--- a/src/routing/tests/harness.rs
+++ b/src/routing/tests/harness.rs
@@ -84,6 +84,7 @@
         limit: SLOTS,
         service_time: Duration::from_millis(5),
         accepting: true,
+        delay: Duration::ZERO,
     }
 }
 
