Give a call back when its turn comes later than at the next best gate

The entry's news of a speed is up to 100 ms old; the gate's own is not.

Change: the entry says how long the turn may take (expected wait and the lead over the next best), and the gate gives the call back at once when its turn comes later, as not run. The entry chooses again by the load that came with it, the same gate included.

--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -78,6 +78,8 @@
     pub deadline: Time,
     /// Until when its answer has its full worth, where the plan says so.
     pub objective: Option<Time>,
+    /// When the entry wants the call back unless it has been begun.
+    pub begin_by: Option<Time>,
     /// Plan by which the entry chose.
     pub plan: Version,
     /// Span of the gate.
@@ -231,7 +233,13 @@
     ) -> Outcome {
         let arrived = self.clock.now();
         let kind = rule.kind();
-        let call = match self.admit(call, job.objective, kind, progress).await {
+        let arrival = Arrival {
+            objective: job.objective,
+            begin_by: job.begin_by,
+            kind,
+            ..Arrival::default()
+        };
+        let call = match self.admit(call, arrival, progress).await {
             Ok(call) => call,
             Err(refused) => return Outcome::NotRun(refused),
         };
@@ -266,16 +274,13 @@
     async fn admit(
         &self,
         call: Call<Routed>,
-        objective: Option<Time>,
-        kind: Kind,
+        arrival: Arrival,
         progress: &Progress,
     ) -> Result<Call<Admitted>, NotRun> {
         let mut waiting = self.admission.enter_as(Arrival {
             worth: call.worth(),
             deadline: call.deadline(),
-            objective,
-            kind,
-            ..Arrival::default()
+            ..arrival
         });
         let verdict = loop {
             tokio::select! {
--- a/src/call/refusal.rs
+++ b/src/call/refusal.rs
@@ -45,11 +45,13 @@
     Duplicate = 17,
     /// The node has just started and does not know who holds idempotency keys.
     Starting = 18,
+    /// Its turn at the gate comes later than the entry asked for.
+    LateTurn = 19,
 }
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Overloaded,
         Self::Deadline,
         Self::ZoneOut,
@@ -68,6 +70,7 @@
         Self::NoPlan,
         Self::Duplicate,
         Self::Starting,
+        Self::LateTurn,
     ];
 
     /// The reason with this number on the wire.
@@ -95,6 +98,7 @@
                 | Self::Unreachable
                 | Self::Shed
                 | Self::Recalled
+                | Self::LateTurn
                 | Self::NoPlan
                 | Self::NoBackendServer
         )
@@ -122,6 +126,7 @@
             Self::NoPlan => "no-plan",
             Self::Duplicate => "duplicate",
             Self::Starting => "starting",
+            Self::LateTurn => "late-turn",
         }
     }
 }
--- a/src/dialect/refusal.rs
+++ b/src/dialect/refusal.rs
@@ -102,6 +102,7 @@
         | Reason::Recalled
         | Reason::NoBackendServer
         | Reason::NoPlan
+        | Reason::LateTurn
         | Reason::Starting => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -112,7 +113,7 @@
 
 const fn remedy(reason: Reason) -> &'static str {
     match reason {
-        Reason::Overloaded | Reason::Shed | Reason::Recalled => {
+        Reason::Overloaded | Reason::Shed | Reason::Recalled | Reason::LateTurn => {
             "every backend server tried is full; send it again later"
         }
         Reason::Deadline => "the time left is too short; allow the call more time",
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -92,6 +92,7 @@
             context: routable.context.clone(),
             deadline: parts.clock.now() + time_left,
             objective: routable.objective,
+            begin_by: choice.patience.map(|patience| parts.clock.now() + patience),
             plan: routable.situation.plan.version,
         };
         let progress = Progress::default();
@@ -148,6 +149,7 @@
             regions: routable.context.regions.clone().unwrap_or_default(),
             bodiless: upload.is_bodiless(),
             objective_left: routable.objective_left(self.parts.clock.now()),
+            patience: choice.patience.unwrap_or_default(),
         };
         let terms = Terms {
             recall_after: choice.recall_after,
--- a/src/entry/copy.rs
+++ b/src/entry/copy.rs
@@ -76,7 +76,7 @@
                 if attempted.is_good() {
                     return attempted;
                 }
-                progress.note(&attempted);
+                progress.note(choice, &attempted);
                 told(second.await, progress, copy.turn)
             }
             Side::Second(attempted) => {
@@ -84,7 +84,7 @@
                 if attempted.is_good() {
                     return attempted;
                 }
-                progress.note(&attempted);
+                progress.note(&copy.choice, &attempted);
                 told(first.await, progress, turn)
             }
         }
@@ -134,10 +134,10 @@
 
 impl Progress {
     /// Takes in a copy that failed while another one runs.
-    fn note(&mut self, attempted: &Attempted) {
+    fn note(&mut self, choice: &Choice, attempted: &Attempted) {
         match attempted {
             Attempted::Answered(_) => self.reached += 1,
-            Attempted::NotRun(refused, _) => self.refuse(*refused),
+            Attempted::NotRun(refused, _) => self.refuse(choice, *refused),
             Attempted::Unknown(unknown, _) => self.lose(*unknown),
         }
     }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -65,8 +65,12 @@
         }
     }
 
-    pub(super) fn refuse(&mut self, refused: NotRun) {
+    pub(super) fn refuse(&mut self, choice: &Choice, refused: NotRun) {
         self.refused = Some(refused);
+        if refused.reason() == Reason::LateTurn {
+            // Its gate has told why, and may still be the best.
+            self.avoid.remove(choice.backend);
+        }
         if refused.reason() == Reason::Shed {
             self.reached += 1;
         }
@@ -238,7 +242,7 @@
                     }
                 }
                 Attempted::NotRun(refused, left) => {
-                    progress.refuse(refused);
+                    progress.refuse(&choice, refused);
                     left.filter(|_| refused.reason().is_local())
                 }
                 Attempted::Unknown(unknown, left) => {
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -343,7 +343,19 @@
             Step::Wait => return None,
         }
         let held = |ticket| self.is_better_later(now, ticket);
-        self.queue.tickets().find(|&ticket| !held(ticket))
+        let next = self.queue.tickets().find(|&ticket| !held(ticket));
+        if next.is_none() {
+            self.return_held(now, actions);
+        }
+        next
+    }
+
+    /// Gives back what its entry does not want to wait for the end of the spell.
+    fn return_held(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let begin = now + self.slowness.remaining(now);
+        while let Some(ticket) = self.queue.pop_unwanted(begin) {
+            self.refuse(ticket, Reason::LateTurn, actions);
+        }
     }
 
     fn is_better_later(&self, now: Time, ticket: Ticket) -> bool {
@@ -381,6 +393,9 @@
         while let Some(ticket) = self.queue.pop_late(now) {
             self.refuse(ticket, Reason::Overloaded, actions);
         }
+        while let Some(ticket) = self.queue.pop_unwanted(now) {
+            self.refuse(ticket, Reason::LateTurn, actions);
+        }
         let expired = |since: Time| now.since(since) >= self.settings.drain_queue_time;
         if self.departure().is_some_and(expired) {
             let reason = self.closed(now).unwrap_or(Reason::Draining);
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -58,6 +58,8 @@
     pub objective: Option<Time>,
     /// Calls of one kind run for a like time.
     pub kind: Kind,
+    /// When the entry wants the call back unless it has been begun.
+    pub begin_by: Option<Time>,
 }
 
 /// What is to be done with a call that arrived.
--- a/src/gate/outlook.rs
+++ b/src/gate/outlook.rs
@@ -34,6 +34,9 @@
                 Reason::Overloaded
             });
         }
+        if arrival.begin_by.is_some_and(|begin_by| turn > begin_by) {
+            return Some(Reason::LateTurn);
+        }
         let waits_in_vain = |objective: Time| turn > now && end > objective;
         let in_vain = arrival.objective.is_some_and(waits_in_vain);
         in_vain.then_some(Reason::Overloaded)
@@ -58,6 +61,7 @@
             // A call that is late already was let in because a slot is free.
             in_time: in_time.filter(|&in_time| in_time > now),
             at_all: before(arrival.deadline, work),
+            begin_by: arrival.begin_by,
         }
     }
 
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -26,6 +26,8 @@
     pub(super) in_time: Option<Time>,
     /// To be answered at all.
     pub(super) at_all: Time,
+    /// For its entry to want it here.
+    pub(super) begin_by: Option<Time>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -41,6 +43,7 @@
     entries: BTreeMap<Ticket, Entry>,
     hopeless: BTreeSet<(Time, Ticket)>,
     late: BTreeSet<(Time, Ticket)>,
+    unwanted: BTreeSet<(Time, Ticket)>,
     sequence: u64,
 }
 
@@ -54,6 +57,9 @@
         if let Some(in_time) = starts.in_time {
             self.late.insert((in_time, arrival.ticket));
         }
+        if let Some(begin_by) = starts.begin_by {
+            self.unwanted.insert((begin_by, arrival.ticket));
+        }
     }
 
     pub(super) fn remove(&mut self, ticket: Ticket) -> bool {
@@ -65,6 +71,9 @@
         if let Some(in_time) = starts.in_time {
             self.late.remove(&(in_time, ticket));
         }
+        if let Some(begin_by) = starts.begin_by {
+            self.unwanted.remove(&(begin_by, ticket));
+        }
         true
     }
 
@@ -114,11 +123,23 @@
         Some(ticket)
     }
 
+    /// Takes out one call that its entry wants back if it is not begun by `time`.
+    pub(super) fn pop_unwanted(&mut self, time: Time) -> Option<Ticket> {
+        let &(begin_by, ticket) = self.unwanted.first()?;
+        if begin_by > time {
+            return None;
+        }
+        self.remove(ticket);
+        Some(ticket)
+    }
+
+
     /// When the next call is to be taken out unless it is admitted before.
     pub(super) fn first_due(&self) -> Option<Time> {
         let hopeless = self.hopeless.first().map(|&(at_all, _)| at_all);
         let late = self.late.first().map(|&(in_time, _)| in_time);
-        [hopeless, late].into_iter().flatten().min()
+        let unwanted = self.unwanted.first().map(|&(begin_by, _)| begin_by);
+        [hopeless, late, unwanted].into_iter().flatten().min()
     }
 
     /// Calls that would be admitted before `arrival`.
--- a/src/gate/tests/speed.rs
+++ b/src/gate/tests/speed.rs
@@ -40,6 +40,7 @@
         deadline: after(10_000),
         objective: Some(after(objective_ms)),
         kind: KIND,
+        begin_by: None,
     };
     let now = harness.now;
     harness.gate.arrive(now, arrival, &mut harness.actions);
--- a/src/gate/tests/waiting.rs
+++ b/src/gate/tests/waiting.rs
@@ -36,6 +36,7 @@
         deadline: after(deadline_ms),
         objective: objective_ms.map(after),
         kind: KIND,
+        begin_by: None,
     };
     let now = harness.now;
     harness.gate.arrive(now, arrival, &mut harness.actions);
--- a/src/node/hosted/settings.rs
+++ b/src/node/hosted/settings.rs
@@ -120,6 +120,7 @@
             retry_ratio: 0.06,
             retry_burst: 2.0,
             retry_floor_per_s: 0.0,
+            patience_max: Duration::from_millis(200),
             copy_ratio: 0.06,
             copy_burst: 1.0,
             calls_half_life: 2.0,
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -326,6 +326,7 @@
         deadline: executor.clock.now() + open.time_left,
         objective: (open.objective_left > Duration::ZERO)
             .then(|| executor.clock.now() + open.objective_left),
+        begin_by: (open.patience > Duration::ZERO).then(|| executor.clock.now() + open.patience),
         plan: open.plan,
         trace,
     })
--- a/src/peer/wire/message.rs
+++ b/src/peer/wire/message.rs
@@ -42,6 +42,9 @@
     /// Time left in which the answer has its full worth; zero when the plan does
     /// not say.
     pub objective_left: Duration,
+    /// Time within which its turn must come, or the entry wants it back; zero
+    /// when it may wait as long as it likes.
+    pub patience: Duration,
 }
 
 /// Withdraws a call that is still queued.
@@ -185,8 +188,8 @@
     };
 }
 
-counted!(Open, 12: call, plan, service, tenant, method, path, headers, time_left, hops,
-    regions, bodiless, objective_left);
+counted!(Open, 13: call, plan, service, tenant, method, path, headers, time_left, hops,
+    regions, bodiless, objective_left, patience);
 counted!(Head, 5: call, status, headers, load, plan);
 counted!(Refused, 4: call, reason, load, plan);
 counted!(Failed, 3: call, loss, load);
--- a/src/peer/wire/tests.rs
+++ b/src/peer/wire/tests.rs
@@ -48,6 +48,7 @@
         regions: vec!["north".into(), "south".into()],
         bodiless: false,
         objective_left: Duration::from_millis(300),
+        patience: Duration::from_millis(40),
     }
 }
 
--- a/src/routing/baseline.rs
+++ b/src/routing/baseline.rs
@@ -156,6 +156,7 @@
             peer: chosen.peer,
             local: false,
             recall_after: None,
+            patience: None,
             expected: Duration::ZERO,
             waits: false,
             load_age: None,
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -45,6 +45,15 @@
         self.expected.wait_us > 0.0
     }
 
+    /// Time within which the turn of the call must come; after it, the next best
+    /// would have been better.
+    pub(super) fn patience(&self, next_best_us: f64, settings: &Settings) -> Duration {
+        let gain_us = (next_best_us - self.cost_us).max(0.0);
+        let gain = Duration::from_secs_f64(gain_us / 1e6);
+        let wait = Duration::from_secs_f64(self.expected.wait_us / 1e6);
+        wait + gain.clamp(settings.patience_min, settings.patience_max)
+    }
+
     /// Time after which the call should long have been admitted.
     pub(super) fn recall_after(&self, next_best_us: f64, settings: &Settings) -> Duration {
         let admitted_us = self.transit_us + 2.0 * self.expected.wait_us;
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -87,6 +87,15 @@
         self.next = (self.next + 1) % Self::CAPACITY;
     }
 
+    /// Takes `backend` out again.
+    pub fn remove(&mut self, backend: key::Backend) {
+        for known in &mut self.backends {
+            if *known == Some(backend) {
+                *known = None;
+            }
+        }
+    }
+
     /// Whether `backend` was tried.
     #[must_use]
     pub fn contains(&self, backend: key::Backend) -> bool {
@@ -107,6 +116,9 @@
     pub local: bool,
     /// Time after which a call that is still queued is worth taking back.
     pub recall_after: Option<Duration>,
+    /// Time within which its turn at the gate must come, or another backend
+    /// server is better; none when there is no other.
+    pub patience: Option<Duration>,
     /// Time that the call is expected to take, all told.
     pub expected: Duration,
     /// Whether the call is expected to wait at the gate.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -73,6 +73,7 @@
         let best = self.best(now, ask)?;
         self.charge(now, ask, &best);
         let recall_after = self.recall_after(now, ask.service, &best);
+        let patience = self.patience(&best);
         let member = self
             .directory
             .arena
@@ -86,6 +87,7 @@
             peer: member.peer,
             local: member.distance == Distance::Own,
             recall_after,
+            patience,
             expected: best.expected(),
             waits: best.waits(),
             load_age,
@@ -183,6 +185,7 @@
             peer: member.peer,
             local: member.distance == Distance::Own,
             recall_after: None,
+            patience: None,
             expected: Duration::ZERO,
             waits: false,
             load_age: None,
@@ -209,6 +212,14 @@
 
     /// A recall makes sense when another backend server could take the call, and
     /// the retry budget is likely to pay for it.
+    /// Nothing is to be gained elsewhere when no other was drawn.
+    fn patience(&self, best: &Candidate) -> Option<Duration> {
+        let others = self.drawn.iter().filter(|one| one.backend != best.backend);
+        let next_best_us = others.map(|one| one.cost_us).min_by(f64::total_cmp)?;
+        let bounds = self.settings.patience_min..=self.settings.patience_max;
+        (!bounds.is_empty()).then(|| best.patience(next_best_us, &self.settings))
+    }
+
     fn recall_after(
         &mut self,
         now: Time,
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -61,6 +61,11 @@
     pub recall_min: f64,
     /// Retries that must be saved up for a recall to be planned.
     pub recall_reserve: f64,
+    /// Least time beyond the expected wait for which a call may wait at a gate
+    /// while there are others.
+    pub patience_min: Duration,
+    /// Longest such time. Less than the least lets calls wait without bound.
+    pub patience_max: Duration,
     /// Second copies per call.
     pub copy_ratio: f64,
     /// Second copies that may be saved up.
@@ -100,6 +105,8 @@
             retry_burst: 10.0,
             recall_min: 1.0,
             recall_reserve: 5.0,
+            patience_min: Duration::from_millis(5),
+            patience_max: Duration::ZERO,
             copy_ratio: 0.01,
             copy_burst: 5.0,
             probe_bytes_per_s: 2_000.0,
