Weigh bytes between regions against lateness in the choice

Change: another region costs a surcharge of 80 ms, and an answer that is likely to be late one of up to 300 ms. Objectives are counted by the caller's stopwatch, 16 ms on the way included.

Tests in routing/tests/objective.rs and gate/tests/speed.rs.

--- a/src/bench/policy/entry.rs
+++ b/src/bench/policy/entry.rs
@@ -200,6 +200,7 @@
         regions: Regions::ALL,
         worth: arrival.worth,
         deadline,
+        objective: None,
         bytes: CALL_BYTES,
         avoid,
     }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -320,6 +320,7 @@
             regions: routable.allowed,
             worth: routable.worth(),
             deadline: progress.deadline,
+            objective: routable.objective,
             bytes: upload.known_bytes() as u64,
             avoid: progress.avoid,
         };
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -92,7 +92,9 @@
             .time_left
             .map_or(by_plan.deadline, |left| left.min(by_plan.deadline));
         let now = parts.clock.now();
-        let objective = by_plan.terms.objective.map(|objective| now + objective);
+        let transit = parts.settings.caller_transit;
+        let in_time = |objective: Duration| now + objective.saturating_sub(transit);
+        let objective = by_plan.terms.objective.map(in_time);
         let idempotent = by_plan.is_idempotent(&head.method);
         let regions = region_names(plan, allowed);
         let waits_for_continue = head.headers.contains_key(header::EXPECT);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -34,6 +34,9 @@
     /// Share of the objective after which an idempotent call without an answer is
     /// sent to a second backend server; none when zero.
     pub copy_after: f64,
+    /// Time that a request and its answer take between caller and entry; objectives
+    /// are met by the caller's stopwatch.
+    pub caller_transit: Duration,
     /// When a caller whose call was refused may come back.
     pub retry_after: Duration,
     /// Bytes of an answer to an idempotent call that are read before its head
@@ -56,6 +59,7 @@
             forwards_home: false,
             free_refusals: false,
             copy_after: 0.0,
+            caller_transit: Duration::ZERO,
             retry_after: Duration::from_secs(1),
             held_answer_bytes: 0,
         }
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -133,7 +133,6 @@
         Some(ticket)
     }
 
-
     /// When the next call is to be taken out unless it is admitted before.
     pub(super) fn first_due(&self) -> Option<Time> {
         let hopeless = self.hopeless.first().map(|&(at_all, _)| at_all);
--- a/src/gate/tests/speed.rs
+++ b/src/gate/tests/speed.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::harness::{Harness, settings};
+use crate::call::Reason;
 use crate::gate::{Action, Arrival, Kind, Outcome, Settings, Sign, Ticket};
 
 const KIND: Kind = Kind(7);
@@ -33,6 +34,16 @@
 }
 
 fn ask(harness: &mut Harness, ticket: u64, objective_ms: u64) -> Ticket {
+    ask_by(harness, ticket, objective_ms, None)
+}
+
+/// Asks for a call that is wanted back unless it is begun in time.
+fn ask_by(
+    harness: &mut Harness,
+    ticket: u64,
+    objective_ms: u64,
+    patience_ms: Option<u64>,
+) -> Ticket {
     let after = |millis| harness.now + Duration::from_millis(millis);
     let arrival = Arrival {
         ticket: Ticket(ticket),
@@ -40,7 +51,7 @@
         deadline: after(10_000),
         objective: Some(after(objective_ms)),
         kind: KIND,
-        begin_by: None,
+        begin_by: patience_ms.map(after),
     };
     let now = harness.now;
     harness.gate.arrive(now, arrival, &mut harness.actions);
@@ -64,6 +75,30 @@
     assert!(harness.admitted(call));
 }
 
+fn given_back_when_the_spell_lasts_longer() {
+    let mut harness = told();
+    harness.pass(30);
+    let call = ask_by(&mut harness, 1, 400, Some(20));
+    let patient = ask_by(&mut harness, 2, 400, Some(300));
+    assert_eq!(harness.refused(call), None);
+    harness.sign(Sign::Slowness(SLOW));
+    assert_eq!(harness.refused(call), Some(Reason::LateTurn));
+    assert_eq!(harness.refused(patient), None);
+}
+
+fn given_back_when_slots_stay_in_use() {
+    let mut harness = told();
+    for number in 0..8 {
+        ask(&mut harness, 100 + number, 400);
+    }
+    let call = ask_by(&mut harness, 1, 400, Some(50));
+    assert_eq!(harness.refused(call), None);
+    let due = harness.gate.next_tick().expect("it is wanted back");
+    assert!(due.since(harness.now) <= Duration::from_millis(50));
+    harness.pass(50);
+    assert_eq!(harness.refused(call), Some(Reason::LateTurn));
+}
+
 fn begun_slow_in_a_long_spell() {
     let mut harness = told();
     harness.sign(Sign::Slowness(SLOW));
@@ -247,6 +282,9 @@
 
 cases! {
     call_is_begun_when_the_slow_spell_ends: begun_when_the_spell_ends();
+    call_is_given_back_at_once_when_its_turn_comes_too_late:
+        given_back_when_the_spell_lasts_longer();
+    call_is_given_back_when_its_turn_has_not_come: given_back_when_slots_stay_in_use();
     call_is_begun_slow_when_the_spell_lasts: begun_slow_in_a_long_spell();
     spell_of_a_cold_server_is_waited_for: spell_on_a_cold_server();
     speed_is_asked_for_when_it_may_have_changed: asked_when_it_may_have_changed();
--- a/src/node/hosted/settings.rs
+++ b/src/node/hosted/settings.rs
@@ -102,6 +102,7 @@
         entry: entry::Settings {
             forwards_home: true,
             free_refusals: true,
+            caller_transit: Duration::from_millis(16),
             retry_after: Duration::from_millis(100),
             copy_after: 0.5,
             held_answer_bytes: 64 * 1024,
@@ -121,6 +122,8 @@
             retry_burst: 2.0,
             retry_floor_per_s: 0.0,
             patience_max: Duration::from_millis(200),
+            remote_surcharge: Duration::from_millis(80),
+            late_surcharge: Duration::from_millis(300),
             copy_ratio: 0.06,
             copy_burst: 1.0,
             calls_half_life: 2.0,
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -20,6 +20,9 @@
 
 /// Members looked at for each candidate wanted.
 const STEPS_PER_CANDIDATE: usize = 4;
+/// Share of the time left that a call may be expected to take and still be
+/// certain to be in time.
+const CERTAIN: f64 = 0.7;
 /// Seconds of budget that can be saved up for bytes between regions.
 const REMOTE_BURST_S: f64 = 1.0;
 
@@ -195,19 +198,33 @@
         let failures = f64::from(member.health.failures());
         let weight = 1.0 + self.settings.crowding * expected.occupancy + failures;
         let near_us = transit_us + expected.wait_us + expected.service_us * weight;
-        let gain = match member.distance {
-            Distance::Remote => self.settings.remote_gain,
-            _ => 0.0,
+        let cost_us = match member.distance {
+            Distance::Remote => {
+                let surcharge_us = micros(self.settings.remote_surcharge);
+                near_us / (1.0 - self.settings.remote_gain) + surcharge_us
+            }
+            _ => near_us,
         };
+        let total_us = transit_us + expected.wait_us + expected.service_us;
         Candidate {
             backend,
             group,
-            cost_us: near_us / (1.0 - gain),
+            cost_us: cost_us + self.lateness(total_us) * micros(self.settings.late_surcharge),
             transit_us,
             expected,
         }
     }
 
+    /// How likely a call that is expected to take `total_us` is to be late, from
+    /// zero to one. Calls of one kind differ in length.
+    fn lateness(&self, total_us: f64) -> f64 {
+        let Some(objective) = self.ask.objective else {
+            return 0.0;
+        };
+        let left_us = micros(objective.since(self.now)).max(1.0);
+        ((total_us / left_us - CERTAIN) / (2.0 * (1.0 - CERTAIN))).clamp(0.0, 1.0)
+    }
+
     fn latency(&self, distance: Distance) -> Duration {
         match distance {
             Distance::Own => Duration::ZERO,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -55,6 +55,8 @@
     pub worth: u32,
     /// When the answer is of no use any more.
     pub deadline: Time,
+    /// Until when an answer has its full worth, where the plan says so.
+    pub objective: Option<Time>,
     /// Bytes that would cross to another region.
     pub bytes: u64,
     /// Backend servers that were tried already.
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -21,6 +21,10 @@
     pub remote_latency: Duration,
     /// Share of the expected time that a call to another region must save.
     pub remote_gain: f64,
+    /// Time that a call to another region must save beside, for its bytes.
+    pub remote_surcharge: Duration,
+    /// Time that an answer past its objective counts as longer.
+    pub late_surcharge: Duration,
     /// Bytes a second that the node may send to each other region.
     pub remote_bytes_per_s: f64,
     /// Service time assumed before the first report.
@@ -87,6 +91,8 @@
             region_latency: Duration::from_millis(1),
             remote_latency: Duration::from_millis(20),
             remote_gain: 0.1,
+            remote_surcharge: Duration::ZERO,
+            late_surcharge: Duration::ZERO,
             remote_bytes_per_s: 2_000_000.0,
             initial_service_time: Duration::from_millis(10),
             calls_half_life: 0.25,
--- a/src/routing/tests/harness.rs
+++ b/src/routing/tests/harness.rs
@@ -102,6 +102,7 @@
         regions: Regions::ALL,
         worth: 1,
         deadline: Time::from_millis(60_000),
+        objective: None,
         bytes: 1_000,
         avoid: Avoid::default(),
     }
@@ -115,13 +116,17 @@
 
 impl Harness {
     pub(super) fn new(instances: &[(&str, &str)]) -> Self {
+        Self::with(Settings::default(), instances)
+    }
+
+    pub(super) fn with(settings: Settings, instances: &[(&str, &str)]) -> Self {
         let place = Place {
             instance: "entry".into(),
             region: "morava".into(),
             zone: "morava-a".into(),
         };
         let mut harness = Self {
-            router: Router::new(Settings::default(), place, 7),
+            router: Router::new(settings, place, 7),
             now: Time::from_millis(1),
         };
         harness.update(&[], &view(instances));
--- a/src/routing/tests/mod.rs
+++ b/src/routing/tests/mod.rs
@@ -1,3 +1,4 @@
 mod choice;
 mod failures;
 mod harness;
+mod objective;
