--- a/src/peer/wire/tests.rs
+++ b/src/peer/wire/tests.rs
@@ -322,7 +322,7 @@
     refused_survives: survives(kind::REFUSED, &REFUSED);
     failed_survives: survives(kind::FAILED, &FAILED);
     trailers_survive: survives(kind::TRAILERS, &trailers());
-    open_skips_a_later_field: skips_a_later_field(kind::OPEN, &open(), 12);
+    open_skips_a_later_field: skips_a_later_field(kind::OPEN, &open(), 13);
     head_skips_a_later_field: skips_a_later_field(kind::HEAD, &head(), 5);
     refused_skips_a_later_field: skips_a_later_field(kind::REFUSED, &REFUSED, 4);
     failed_skips_a_later_field: skips_a_later_field(kind::FAILED, &FAILED, 3);
--- a/src/routing/tests/harness.rs
+++ b/src/routing/tests/harness.rs
@@ -116,17 +116,17 @@
 
 impl Harness {
     pub(super) fn new(instances: &[(&str, &str)]) -> Self {
-        Self::with(Settings::default(), instances)
+        Self::with(&Settings::default(), instances)
     }
 
-    pub(super) fn with(settings: Settings, instances: &[(&str, &str)]) -> Self {
+    pub(super) fn with(settings: &Settings, instances: &[(&str, &str)]) -> Self {
         let place = Place {
             instance: "entry".into(),
             region: "morava".into(),
             zone: "morava-a".into(),
         };
         let mut harness = Self {
-            router: Router::new(settings, place, 7),
+            router: Router::new(*settings, place, 7),
             now: Time::from_millis(1),
         };
         harness.update(&[], &view(instances));
--- a/src/routing/tests/objective.rs
+++ b/src/routing/tests/objective.rs
@@ -30,7 +30,7 @@
 }
 
 fn told(instances: &[(&str, &str)], near_delay_ms: u64) -> Harness {
-    let mut harness = Harness::with(settings(), instances);
+    let mut harness = Harness::with(&settings(), instances);
     for (name, _) in instances {
         let delay_ms = if *name == "near" { near_delay_ms } else { 0 };
         harness.router.told(harness.now, name, &load(delay_ms));
