Serve calls that can still be in time before those that came back

Change: an entry tells a call that has come back by the time that it has left, against the usual time of its route (budgets of new calls spread by 15 in 100 there, so only what is well below counts). A gate lets what can only be late wait behind all others, 150 ms at most. A call is given back for the sake of a better gate once.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -31,6 +31,8 @@
     pub(super) reached: u32,
     pub(super) deadline: Time,
     refused: Option<NotRun>,
+    /// A gate has given the call back for the sake of a better one.
+    given_back: bool,
     unknown: Option<Unknown>,
     /// Answer of a backend server that failed, in case no better one comes.
     failure: Option<Response<Body>>,
@@ -46,6 +48,7 @@
             reached: 0,
             deadline,
             refused: None,
+            given_back: false,
             unknown: None,
             failure: None,
             story,
@@ -70,6 +73,7 @@
         if refused.reason() == Reason::LateTurn {
             // Its gate has told why, and may still be the best.
             self.avoid.remove(choice.backend);
+            self.given_back = true;
         }
         if refused.reason() == Reason::Shed {
             self.reached += 1;
@@ -327,8 +331,12 @@
         let own = self.parts.executor.load();
         let mut router = self.router();
         router.told(now, &self.parts.place.instance, &own);
-        let choice = router.choose(now, &ask)?;
+        let mut choice = router.choose(now, &ask)?;
         drop(router);
+        if progress.given_back {
+            // Where all have to wait, going round only loses the turn.
+            choice.patience = None;
+        }
         if progress.avoid.contains(choice.backend) {
             let abandoned = routing::Event::Abandoned;
             self.router().observe(now, choice.backend, &abandoned);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -44,6 +44,7 @@
 //! `executor` and `Parts` share one clock; the node keeps `router` up to date
 //! by [`Router::update`](crate::routing::Router::update) on every change.
 
+mod age;
 mod answer;
 mod attempt;
 mod claim;
@@ -58,16 +59,19 @@
 
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
 
 use crate::backend::Executor;
 use crate::call::{Ids, Observer, Situations};
-use crate::clock::Clock;
+use crate::clock::{Clock, Time};
 use crate::dialect::Dialect;
 use crate::peer::Links;
 use crate::routing::{Place, Router};
 
+use age::Ages;
+
 pub use server::serve;
 pub use settings::Settings;
 
@@ -102,6 +106,7 @@
 /// The entry of one node.
 pub struct Entry {
     parts: Parts,
+    ages: Mutex<Ages>,
 }
 
 impl fmt::Debug for Entry {
@@ -116,7 +121,20 @@
     /// An entry that is ready to [`serve`].
     #[must_use]
     pub fn new(parts: Parts) -> Arc<Self> {
-        Arc::new(Self { parts })
+        Arc::new(Self {
+            parts,
+            ages: Mutex::default(),
+        })
+    }
+
+    /// How long the caller of a call has been waiting already.
+    fn age(&self, now: Time, route: &str, left: Duration) -> Duration {
+        if !self.parts.settings.counts_ages {
+            return Duration::ZERO;
+        }
+        let ages = self.ages.lock();
+        let mut ages = ages.unwrap_or_else(PoisonError::into_inner);
+        ages.age(now, route, left)
     }
 
     /// Every step of the router leaves it valid, so a panic elsewhere does too.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -92,8 +92,11 @@
             .time_left
             .map_or(by_plan.deadline, |left| left.min(by_plan.deadline));
         let now = parts.clock.now();
-        let transit = parts.settings.caller_transit;
-        let in_time = |objective: Duration| now + objective.saturating_sub(transit);
+        let age = context
+            .time_left
+            .map_or(Duration::ZERO, |left| entry.age(now, &by_plan.name, left));
+        let gone = parts.settings.caller_transit + age;
+        let in_time = |objective: Duration| now + objective.saturating_sub(gone);
         let objective = by_plan.terms.objective.map(in_time);
         let idempotent = by_plan.is_idempotent(&head.method);
         let regions = region_names(plan, allowed);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -37,6 +37,9 @@
     /// Time that a request and its answer take between caller and entry; objectives
     /// are met by the caller's stopwatch.
     pub caller_transit: Duration,
+    /// Whether a call with less time left than is usual on its route counts as
+    /// one that has come back, whose objective is nearer.
+    pub counts_ages: bool,
     /// When a caller whose call was refused may come back.
     pub retry_after: Duration,
     /// Bytes of an answer to an idempotent call that are read before its head
@@ -60,6 +63,7 @@
             free_refusals: false,
             copy_after: 0.0,
             caller_transit: Duration::ZERO,
+            counts_ages: false,
             retry_after: Duration::from_secs(1),
             held_answer_bytes: 0,
         }
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Whole calls through nodes that run in this process, with backend servers
 //! that break on demand.
 
+mod ages;
 mod bodies;
 mod claims;
 mod depth;
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -215,7 +215,7 @@
             limit: self.limit(),
             service_time: outlook.work,
             accepting: self.closed(now).is_none(),
-            delay: outlook.delay,
+            delay: outlook.delay.max(self.cold_delay(now)),
         }
     }
 
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -14,6 +14,8 @@
 /// Position of a waiting call. Smaller is admitted earlier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
+    /// Calls that can only be late go last.
+    late: bool,
     worth: Reverse<u32>,
     deadline: Time,
     sequence: u64,
@@ -22,7 +24,10 @@
 /// Last moments at which a call is worth starting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Starts {
-    /// To meet its objective, where it has one.
+    /// Whether it is past its objective already.
+    pub(super) late: bool,
+    /// To meet its objective, where it has one; to wait no longer than a late
+    /// call may.
     pub(super) in_time: Option<Time>,
     /// To be answered at all.
     pub(super) at_all: Time,
@@ -49,7 +54,7 @@
 
 impl Queue {
     pub(super) fn push(&mut self, arrival: &Arrival, starts: Starts) {
-        let rank = self.rank(arrival);
+        let rank = self.rank(arrival, starts.late);
         self.sequence += 1;
         self.by_rank.insert(rank, arrival.ticket);
         self.entries.insert(arrival.ticket, Entry { rank, starts });
@@ -95,7 +100,7 @@
     /// Takes out the call that is admitted last, if it is worth less than `worth`.
     pub(super) fn pop_below(&mut self, worth: u32) -> Option<Ticket> {
         let (rank, &ticket) = self.by_rank.last_key_value()?;
-        if rank.worth.0 >= worth {
+        if rank.worth.0 >= worth && !rank.late {
             return None;
         }
         self.remove(ticket);
@@ -142,8 +147,8 @@
     }
 
     /// Calls that would be admitted before `arrival`.
-    pub(super) fn ahead_of(&self, arrival: &Arrival) -> usize {
-        self.by_rank.range(..self.rank(arrival)).count()
+    pub(super) fn ahead_of(&self, arrival: &Arrival, late: bool) -> usize {
+        self.by_rank.range(..self.rank(arrival, late)).count()
     }
 
     pub(super) fn len(&self) -> usize {
@@ -154,8 +159,9 @@
         self.entries.is_empty()
     }
 
-    const fn rank(&self, arrival: &Arrival) -> Rank {
+    const fn rank(&self, arrival: &Arrival, late: bool) -> Rank {
         Rank {
+            late,
             worth: Reverse(arrival.worth),
             deadline: arrival.deadline,
             sequence: self.sequence,
--- a/src/gate/settings.rs
+++ b/src/gate/settings.rs
@@ -23,6 +23,9 @@
     pub initial_service_time: Duration,
     /// Longest time that calls queued before a departure may still be admitted.
     pub drain_queue_time: Duration,
+    /// Longest wait of a call that is past its objective; it goes behind all that
+    /// can be in time.
+    pub late_wait: Duration,
     /// Age at which the backend server is asked for its speed once more before a
     /// call is begun. Speeds that nobody tells are not asked for.
     pub speed_age: Duration,
@@ -62,6 +65,7 @@
             queue_capacity: 32,
             initial_service_time: Duration::from_millis(10),
             drain_queue_time: Duration::from_secs(1),
+            late_wait: Duration::ZERO,
             speed_age: Duration::from_millis(10),
             asks_per_s: 30.0,
             failure_streak: 3,
--- a/src/gate/tests/mod.rs
+++ b/src/gate/tests/mod.rs
@@ -3,5 +3,6 @@
 mod failures;
 mod harness;
 mod invariants;
+mod returning;
 mod speed;
 mod waiting;
--- /dev/null
+++ b/src/gate/tests/returning.rs
@@ -0,0 +1,211 @@
+//! More calls than a cold backend server may have, some of them for the second time.
+
+use std::time::Duration;
+
+use super::harness::{Harness, settings};
+use crate::call::Reason;
+use crate::gate::{Action, Arrival, Kind, Settings, Sign, Ticket};
+
+const KIND: Kind = Kind(3);
+const WORK_MS: u64 = 80;
+const OBJECTIVE_MS: u64 = 300;
+/// What the backend server may have, and what callers ask for.
+const COLD_PER_S: u32 = 17;
+const CALL_MS: u64 = 35;
+/// Time after which a refused caller comes back, once.
+const AWAY_MS: u64 = 120;
+const LATE_WAIT_MS: u64 = 150;
+const REPLAY_MS: u64 = 3_000;
+
+#[derive(Clone, Copy)]
+struct Call {
+    ticket: Ticket,
+    first: u64,
+    again: bool,
+    ends: u64,
+}
+
+struct Replay {
+    harness: Harness,
+    waiting: Vec<Call>,
+    running: Vec<Call>,
+    away: Vec<Call>,
+    in_time: u32,
+}
+
+fn cold() -> Harness {
+    let mut harness = Harness::new(Settings {
+        cold_per_s: Some(COLD_PER_S),
+        slow_ratio: f64::INFINITY,
+        queue_capacity: 64,
+        late_wait: Duration::from_millis(LATE_WAIT_MS),
+        ..settings()
+    });
+    harness.sign(Sign::ColdFor(Duration::ZERO));
+    for number in 0..20 {
+        let call = Call {
+            ticket: Ticket(1_000 + number),
+            first: 0,
+            again: false,
+            ends: 0,
+        };
+        arrive(&mut harness, call, 10_000, 10_000);
+        harness.pass(WORK_MS);
+        harness.answer(call.ticket, WORK_MS);
+    }
+    harness.pass(1_000);
+    harness.sign(Sign::ColdFor(Duration::from_mins(1)));
+    harness.actions.clear();
+    harness
+}
+
+fn arrive(harness: &mut Harness, call: Call, objective_ms: u64, deadline_ms: u64) {
+    let after = |millis| harness.now + Duration::from_millis(millis);
+    let arrival = Arrival {
+        ticket: call.ticket,
+        worth: 1,
+        deadline: after(deadline_ms),
+        objective: Some(after(objective_ms)),
+        kind: KIND,
+        begin_by: None,
+    };
+    let now = harness.now;
+    harness.gate.arrive(now, arrival, &mut harness.actions);
+}
+
+impl Replay {
+    fn new() -> Self {
+        Self {
+            harness: cold(),
+            waiting: Vec::new(),
+            running: Vec::new(),
+            away: Vec::new(),
+            in_time: 0,
+        }
+    }
+
+    fn run(&mut self) {
+        for millis in 0..REPLAY_MS {
+            if millis % CALL_MS == 0 {
+                self.ask(Call {
+                    ticket: Ticket(10_000 + millis),
+                    first: millis,
+                    again: false,
+                    ends: 0,
+                });
+            }
+            self.come_back(millis);
+            self.harness.pass(1);
+            self.act(millis);
+            self.end(millis);
+        }
+    }
+
+    fn ask(&mut self, call: Call) {
+        let age = if call.again { AWAY_MS } else { 0 };
+        arrive(&mut self.harness, call, OBJECTIVE_MS - age, 1_000 - age);
+        self.waiting.push(call);
+    }
+
+    fn come_back(&mut self, millis: u64) {
+        let back = |call: &Call| call.first + AWAY_MS <= millis;
+        let calls: Vec<Call> = self.away.iter().copied().filter(back).collect();
+        self.away.retain(|call| !back(call));
+        for call in calls {
+            self.ask(call);
+        }
+    }
+
+    fn act(&mut self, millis: u64) {
+        for action in std::mem::take(&mut self.harness.actions) {
+            let (Action::Admit(ticket) | Action::Refuse(ticket, _)) = action else {
+                continue;
+            };
+            let at = self.waiting.iter().position(|call| call.ticket == ticket);
+            let call = self.waiting.remove(at.expect("it waited"));
+            if matches!(action, Action::Admit(_)) {
+                let ends = millis + WORK_MS;
+                self.running.push(Call { ends, ..call });
+            } else if !call.again {
+                self.away.push(Call {
+                    ticket: Ticket(50_000 + call.ticket.0),
+                    again: true,
+                    ..call
+                });
+            }
+        }
+    }
+
+    fn end(&mut self, millis: u64) {
+        let has_ended = |call: &Call| call.ends <= millis;
+        let ended: Vec<Call> = self.running.iter().copied().filter(has_ended).collect();
+        self.running.retain(|call| !has_ended(call));
+        for call in ended {
+            self.harness.answer(call.ticket, WORK_MS);
+            self.in_time += u32::from(millis - call.first <= OBJECTIVE_MS);
+        }
+    }
+}
+
+fn most_of_the_allowance_is_in_time() {
+    let mut replay = Replay::new();
+    replay.run();
+    let allowed = COLD_PER_S * 3;
+    let in_time = replay.in_time;
+    assert!(in_time * 10 >= allowed * 9, "{in_time} of {allowed}");
+}
+
+fn late_call(harness: &mut Harness, number: u64) -> Ticket {
+    let call = Call {
+        ticket: Ticket(number),
+        first: 0,
+        again: true,
+        ends: 0,
+    };
+    arrive(harness, call, 1, 2_000);
+    call.ticket
+}
+
+fn call(harness: &mut Harness, number: u64) -> Ticket {
+    let call = Call {
+        ticket: Ticket(number),
+        first: 0,
+        again: false,
+        ends: 0,
+    };
+    arrive(harness, call, OBJECTIVE_MS, 2_000);
+    call.ticket
+}
+
+fn full() -> Harness {
+    let mut harness = cold();
+    harness.sign(Sign::ColdFor(Duration::ZERO));
+    for number in 0..8 {
+        call(&mut harness, number);
+    }
+    harness
+}
+
+fn late_waits_behind() {
+    let mut harness = full();
+    let late = late_call(&mut harness, 100);
+    let in_time = call(&mut harness, 101);
+    harness.answer(Ticket(0), WORK_MS);
+    assert!(harness.admitted(in_time) && !harness.admitted(late));
+    harness.answer(Ticket(1), WORK_MS);
+    assert!(harness.admitted(late));
+}
+
+fn late_waits_little() {
+    let mut harness = full();
+    let late = late_call(&mut harness, 100);
+    assert_eq!(harness.refused(late), None);
+    harness.pass(LATE_WAIT_MS);
+    assert_eq!(harness.refused(late), Some(Reason::Overloaded));
+}
+
+cases! {
+    calls_that_come_back_leave_the_allowance_to_new_ones: most_of_the_allowance_is_in_time();
+    late_call_waits_behind_those_that_can_be_in_time: late_waits_behind();
+    late_call_is_refused_after_a_short_wait: late_waits_little();
+}
--- a/src/node/hosted/settings.rs
+++ b/src/node/hosted/settings.rs
@@ -90,6 +90,7 @@
     gate::Settings {
         fill: 0.8,
         queue_capacity: 128,
+        late_wait: Duration::from_millis(150),
         initial_service_time: Duration::from_millis(100),
         slow_ratio: f64::INFINITY,
         pause_max: Duration::from_secs(1),
@@ -103,6 +104,7 @@
             forwards_home: true,
             free_refusals: true,
             caller_transit: Duration::from_millis(16),
+            counts_ages: true,
             retry_after: Duration::from_millis(100),
             copy_after: 0.5,
             held_answer_bytes: 64 * 1024,
