Make fewer store calls: announce once a start, gather announcements

Each start wrote its announcement twice, since the first listing, which could not hold it yet, counted as a loss; a node that started again took a new lease; nodes that the store turned away asked by two followers.

Change: a record tells its lease, and a node that starts again goes on with what the store holds of it. The pause between watches of announcements doubles from 0.25 to 4 s while changes keep coming. Leases run for 30 s and are renewed every 10 s, watches wait 15 s. While the store is away only the follower of plans asks, and its first watch after a failure returns at once: before, a node believed the store away for up to one wait longer (found by the test of the announcer).

--- a/src/membership/direct/announcer.rs
+++ b/src/membership/direct/announcer.rs
@@ -12,8 +12,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
+use super::shelf::Held;
 use super::{Announcement, Settings, Shared, State};
-use crate::membership::Id;
+use crate::membership::{Epoch, Id};
 use crate::store::{self, Client, Expect, Lease, Outcome, Write, WriteId};
 
 /// Keeps one announcement.
@@ -52,6 +53,14 @@
 
     pub(super) async fn run(mut self, mut departures: mpsc::Receiver<oneshot::Sender<()>>) {
         let shared = Arc::clone(&self.shared);
+        tokio::select! {
+            held = shared.held() => self.adopt(held),
+            Some(done) = departures.recv() => {
+                // Whoever waited may have given up.
+                let _ = done.send(());
+                return;
+            }
+        }
         let mut due = Instant::now();
         loop {
             tokio::select! {
@@ -66,13 +75,31 @@
                         return;
                     }
                 }
-                () = shared.lost.notified() => self.written = None,
+                () = shared.lost.notified() => {
+                    self.written = None;
+                    self.pause = self.settings.retry_min;
+                }
                 () = sleep_until(due) => self.renew_due().await,
             }
             due = self.settle().await;
         }
     }
 
+    /// Goes on with what the store holds from before the start. The lease is
+    /// renewed at once, which shows whether it still lives.
+    fn adopt(&mut self, held: Option<Held>) {
+        let Some(mut held) = held else {
+            return;
+        };
+        // The store's order of announcements is not part of what is announced.
+        held.announcement.instance.epoch = Epoch::default();
+        self.expect = Expect::Revision(held.revision);
+        self.lease = held.lease;
+        if held.lease.is_some() {
+            self.written = Some(held.announcement);
+        }
+    }
+
     /// Brings the store up to date; tells when to come back.
     async fn settle(&mut self) -> Instant {
         match self.write_if_needed().await {
@@ -139,6 +166,8 @@
                 Ok(())
             }
             Ok(Outcome::NotApplied(record)) => {
+                // The lease may have ended as well.
+                self.lease = None;
                 self.expect =
                     record.map_or(Expect::Absent, |record| Expect::Revision(record.revision));
                 Err(store::Error::Refused {
@@ -162,6 +191,9 @@
             return;
         };
         announcement.instance.state = State::Leaving;
+        if self.written.as_ref() == Some(&announcement) {
+            return;
+        }
         if let Err(error) = self.write(announcement).await {
             log::warn!("the announcement is not withdrawn: {error}; its lease will lapse");
         }
--- a/src/membership/direct/follower.rs
+++ b/src/membership/direct/follower.rs
@@ -1,17 +1,19 @@
 //! Follows one prefix of the store.
 
-use std::sync::Arc;
-use std::time::Duration;
-
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::sleep;
 
-use super::{Settings, Shared};
+use super::{Settings, Shared, Spacing};
 use crate::membership::Id;
 use crate::store::{self, Client, Revision, Watched};
 
+/// Wait of a watch that only asks whether the store is there.
+const AT_ONCE: Duration = Duration::from_millis(1);
+
 /// What is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Subject {
@@ -31,7 +33,7 @@
 /// Follows one prefix.
 pub(super) struct Follower<C> {
     pub(super) prefix: String,
-    pub(super) spacing: Duration,
+    pub(super) spacing: Spacing,
     pub(super) settings: Settings,
     pub(super) client: Arc<C>,
     pub(super) shared: Arc<Shared>,
@@ -40,14 +42,21 @@
 
 impl<C: Client> Follower<C> {
     /// Lists once, then watches; lists again only when history was lost.
-    pub(super) async fn run(self) {
+    pub(super) async fn run(mut self) {
         let seed = self.settings.seed ^ Id::of(&self.settings.name).0 ^ self.subject as u64;
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut position = None;
         let mut pause = self.settings.retry_min;
         let mut lost = false;
         loop {
-            let stepped = self.step(position).await;
+            let began = self.shared.clock.now();
+            // A watch that does not wait shows at once that the store is back.
+            let wait = if lost {
+                AT_ONCE
+            } else {
+                self.settings.watch_wait
+            };
+            let stepped = self.step(position, wait).await;
             if self.subject == Subject::Plans {
                 self.shared.store_told(stepped.is_ok());
             }
@@ -59,13 +68,19 @@
                     lost = false;
                     pause = self.settings.retry_min;
                     position = next;
-                    sleep(self.spacing).await;
+                    let waited = self.shared.clock.now().since(began);
+                    sleep(self.spacing.after(waited)).await;
                 }
                 Err(error) => {
                     if !lost {
                         log::warn!("the store tells no {}: {error}", self.subject.as_str());
                     }
                     lost = true;
+                    if self.subject == Subject::Nodes {
+                        // One follower is enough to ask whether it is back.
+                        self.shared.store_speaks().await;
+                        pause = self.settings.retry_min;
+                    }
                     sleep(pause.mul_f64(rng.random_range(0.5..=1.0))).await;
                     pause = (pause * 2).min(self.settings.retry_max);
                 }
@@ -74,7 +89,11 @@
     }
 
     /// Where to go on; nothing when the history is lost.
-    async fn step(&self, position: Option<Revision>) -> store::Result<Option<Revision>> {
+    async fn step(
+        &self,
+        position: Option<Revision>,
+        wait: Duration,
+    ) -> store::Result<Option<Revision>> {
         let Some(after) = position else {
             let listing = self.client.list(&self.prefix).await?;
             let revision = listing.revision;
@@ -84,7 +103,6 @@
             }
             return Ok(Some(revision));
         };
-        let wait = self.settings.watch_wait;
         let watched = self.client.watch(&self.prefix, after, wait).await?;
         let Watched::Changes { revision, changes } = watched else {
             return Ok(None);
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -18,6 +18,7 @@
 mod roster;
 mod rumour;
 mod shelf;
+mod spacing;
 #[cfg(test)]
 mod tests;
 
@@ -43,7 +44,8 @@
 pub use rumour::Rumour;
 
 use announcer::Announcer;
-use shelf::{Previous, Shared};
+use shelf::Shared;
+use spacing::Spacing;
 
 /// Longest wait for the withdrawal of the announcement.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -91,11 +93,13 @@
     pub ttl: Duration,
     /// Time between two renewals.
     pub renewal: Duration,
-    /// Longest wait of one watch.
+    /// Longest wait of one watch; shorter than the store keeps its history.
     pub watch_wait: Duration,
     /// Pause between two watches of announcements, so that many changes at once
-    /// take few calls.
-    pub spacing: Duration,
+    /// take few calls. It doubles while changes keep coming.
+    pub spacing_min: Duration,
+    /// Longest such pause; a quiet time as long ends the doubling.
+    pub spacing_max: Duration,
     /// First pause after a failed call; it doubles.
     pub retry_min: Duration,
     /// Longest pause after a failed call.
@@ -111,10 +115,11 @@
         Self {
             name: String::new(),
             prefix: "monsooncove/node/".to_owned(),
-            ttl: Duration::from_secs(12),
-            renewal: Duration::from_secs(4),
-            watch_wait: Duration::from_secs(10),
-            spacing: Duration::from_millis(250),
+            ttl: Duration::from_secs(30),
+            renewal: Duration::from_secs(10),
+            watch_wait: Duration::from_secs(15),
+            spacing_min: Duration::from_millis(250),
+            spacing_max: Duration::from_secs(4),
             retry_min: Duration::from_millis(200),
             retry_max: Duration::from_millis(1_500),
             lapse: Duration::from_secs(20),
@@ -178,12 +183,8 @@
     /// What this node announced before it was started again; waits until the
     /// store has told it.
     pub async fn previous(&self) -> Option<Announcement> {
-        let mut previous = self.shared.previous.subscribe();
-        let told = previous.wait_for(|told| *told != Previous::Untold).await;
-        match told.as_deref() {
-            Ok(Previous::Announced(announcement)) => Some((**announcement).clone()),
-            Ok(Previous::Untold | Previous::Nothing) | Err(_) => None,
-        }
+        let held = self.shared.held().await;
+        held.map(|held| held.announcement)
     }
 
     /// Withdraws the announcement.
@@ -218,7 +219,7 @@
     let shared = Shared::new(&settings, source, publisher, clock);
     let plans = follower::Follower {
         prefix: source.prefix().to_owned(),
-        spacing: Duration::ZERO,
+        spacing: Spacing::none(),
         settings: settings.clone(),
         client: Arc::clone(&client),
         shared: Arc::clone(&shared),
@@ -226,7 +227,7 @@
     };
     let nodes = follower::Follower {
         prefix: settings.prefix.clone(),
-        spacing: settings.spacing,
+        spacing: Spacing::new(settings.spacing_min, settings.spacing_max),
         settings: settings.clone(),
         client: Arc::clone(&client),
         shared: Arc::clone(&shared),
--- a/src/membership/direct/shelf.rs
+++ b/src/membership/direct/shelf.rs
@@ -11,7 +11,7 @@
 use crate::membership::handle::Publisher;
 use crate::membership::{Epoch, Instance, Situation, State, View};
 use crate::plan::Plan;
-use crate::store::{Change, Listing, Record};
+use crate::store::{Change, Lease, Listing, Record, Revision};
 
 /// Time between two looks for announcements that lapsed long ago.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
@@ -21,7 +21,7 @@
 pub(super) struct Shared {
     state: Mutex<Shelf>,
     /// Since when the store has not told plans.
-    silent_since: Mutex<Option<Time>>,
+    silent_since: watch::Sender<Option<Time>>,
     pub(super) name: String,
     prefix: String,
     pub(super) previous: watch::Sender<Previous>,
@@ -39,7 +39,15 @@
     /// Nothing.
     Nothing,
     /// This.
-    Announced(Box<Announcement>),
+    Announced(Box<Held>),
+}
+
+/// An announcement as the store holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Held {
+    pub(super) announcement: Announcement,
+    pub(super) revision: Revision,
+    pub(super) lease: Option<Lease>,
 }
 
 #[derive(Debug)]
@@ -59,7 +67,7 @@
         clock: Clock,
     ) -> Arc<Self> {
         Arc::new(Self {
-            silent_since: Mutex::new(Some(clock.now())),
+            silent_since: watch::Sender::new(Some(clock.now())),
             state: Mutex::new(Shelf {
                 ledger: Ledger::new(Arc::clone(source)),
                 roster: Roster::new(settings.lapse),
@@ -104,25 +112,27 @@
 
     /// The store told plans, or failed to.
     pub(super) fn store_told(&self, told: bool) {
-        let mut since = self
-            .silent_since
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if told {
-            *since = None;
-        } else if since.is_none() {
-            *since = Some(self.clock.now());
-        }
+        self.silent_since.send_if_modified(|since| {
+            let changes = since.is_some() == told;
+            if changes {
+                *since = (!told).then(|| self.clock.now());
+            }
+            changes
+        });
     }
 
     pub(super) fn store_is_silent(&self, limit: Duration) -> bool {
-        let since = *self
-            .silent_since
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let since = *self.silent_since.borrow();
         since.is_some_and(|since| self.clock.now().since(since) >= limit)
     }
 
+    /// Returns when the store tells plans.
+    pub(super) async fn store_speaks(&self) {
+        let mut since = self.silent_since.subscribe();
+        // The sender lives as long as this does.
+        let _ = since.wait_for(Option::is_none).await;
+    }
+
     /// Whether there is a reason to look for news without a call.
     pub(super) fn needs_news(&self, rumour: &Rumour, limit: Duration) -> bool {
         rumour.is_pending() || self.store_is_silent(limit)
@@ -160,14 +170,23 @@
     pub(super) fn nodes_listed(&self, listing: &Listing) {
         let now = self.clock.now();
         let mut announcements = BTreeMap::new();
+        let mut previous = None;
         for record in &listing.records {
-            if let Some(announcement) = self.read(record) {
-                announcements.insert(announcement.instance.name.clone(), announcement);
+            let Some(announcement) = self.read(record) else {
+                continue;
+            };
+            if announcement.instance.name == self.name {
+                previous = Some(Held {
+                    announcement: announcement.clone(),
+                    revision: record.revision,
+                    lease: record.lease,
+                });
             }
+            announcements.insert(announcement.instance.name.clone(), announcement);
         }
-        self.tell_previous(announcements.get(&self.name).cloned());
+        let first = self.tell_previous(previous);
         let mut state = self.lock();
-        if !announcements.contains_key(&self.name) {
+        if !first && !announcements.contains_key(&self.name) {
             self.lost.notify_one();
         }
         let instances = announcements.into_values().map(|told| told.instance);
@@ -214,16 +233,28 @@
         }
     }
 
-    fn tell_previous(&self, previous: Option<Announcement>) {
+    /// What the store holds of this node from before its start; waits until the
+    /// store has told it.
+    pub(super) async fn held(&self) -> Option<Held> {
+        let mut previous = self.previous.subscribe();
+        let told = previous.wait_for(|told| *told != Previous::Untold).await;
+        match told.as_deref() {
+            Ok(Previous::Announced(held)) => Some((**held).clone()),
+            Ok(Previous::Untold | Previous::Nothing) | Err(_) => None,
+        }
+    }
+
+    /// Tells it once; says whether it was untold.
+    fn tell_previous(&self, previous: Option<Held>) -> bool {
         self.previous.send_if_modified(|told| {
             let first = *told == Previous::Untold;
             if first {
-                *told = previous.map_or(Previous::Nothing, |announcement| {
-                    Previous::Announced(Box::new(announcement))
+                *told = previous.map_or(Previous::Nothing, |held| {
+                    Previous::Announced(Box::new(held))
                 });
             }
             first
-        });
+        })
     }
 
     pub(super) async fn expire(self: Arc<Self>) {
--- /dev/null
+++ b/src/membership/direct/spacing.rs
@@ -0,0 +1,43 @@
+//! Pauses between watches, so that a wave of changes takes few calls. Pure.
+//!
+//! Every announcement wakes every node, which in a large fleet is the greatest
+//! part of all calls. The first change is told at once; while more keep coming,
+//! they are gathered for longer and longer.
+
+use std::time::Duration;
+
+/// Pauses between the watches of one prefix.
+#[derive(Debug)]
+pub struct Spacing {
+    min: Duration,
+    max: Duration,
+    next: Duration,
+}
+
+impl Spacing {
+    /// Pauses from `min`, doubling up to `max`.
+    #[must_use]
+    pub const fn new(min: Duration, max: Duration) -> Self {
+        Self {
+            min,
+            max,
+            next: min,
+        }
+    }
+
+    /// No pauses.
+    #[must_use]
+    pub const fn none() -> Self {
+        Self::new(Duration::ZERO, Duration::ZERO)
+    }
+
+    /// The pause after a watch that took `waited` to return.
+    pub fn after(&mut self, waited: Duration) -> Duration {
+        if waited >= self.max {
+            self.next = self.min;
+        }
+        let pause = self.next;
+        self.next = (pause * 2).min(self.max);
+        pause
+    }
+}
--- /dev/null
+++ b/src/membership/direct/tests/announcer.rs
@@ -0,0 +1,148 @@
+//! What an announcement costs the store over the life of a node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::ledger::Numbers;
+use crate::clock::Clock;
+use crate::membership::direct::{self, Announcement, Member, Settings, Source};
+use crate::membership::{Epoch, Instance, State};
+use crate::standin::store::Local;
+use crate::store::Client;
+
+const NAME: &str = "odber-1";
+const KEY: &str = "monsooncove/node/odber-1";
+
+/// A node until it is killed.
+struct Node {
+    member: Member,
+    kill: CancellationToken,
+}
+
+impl Node {
+    fn start(store: &Local) -> Self {
+        let settings = Settings {
+            name: NAME.into(),
+            ..Settings::default()
+        };
+        let kill = CancellationToken::new();
+        let source: Arc<dyn Source> = Arc::new(Numbers);
+        let member = direct::start(settings, store.clone(), &source, Clock::start(), &kill);
+        Self { member, kill }
+    }
+
+    fn announce(&self, service: &str) {
+        self.member.announce(Announcement {
+            instance: instance(service),
+            departed: None,
+        });
+    }
+
+    fn kill(self) {
+        self.kill.cancel();
+    }
+}
+
+fn instance(service: &str) -> Instance {
+    let address = ([127, 0, 0, 1], 9).into();
+    Instance {
+        name: NAME.into(),
+        epoch: Epoch::default(),
+        service: service.into(),
+        region: "morava".into(),
+        zone: "morava-a".into(),
+        caller: address,
+        peer: address,
+        control: address,
+        state: State::Present,
+    }
+}
+
+async fn seconds(seconds: u64) {
+    sleep(Duration::from_secs(seconds)).await;
+}
+
+async fn announced(store: &Local) -> bool {
+    store.get(KEY).await.is_ok_and(|record| record.is_some())
+}
+
+#[tokio::test(start_paused = true)]
+async fn node_that_starts_again_goes_on_with_its_announcement() {
+    let store = Local::default();
+    let node = Node::start(&store);
+    node.announce("odber");
+    seconds(2).await;
+    node.kill();
+    seconds(1).await;
+    let again = Node::start(&store);
+    again.announce("odber");
+    seconds(40).await;
+    let calls = store.counters();
+    assert_eq!((calls.writes, calls.grants), (1, 1));
+    assert!(announced(&store).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn change_after_a_start_is_written_under_the_same_lease() {
+    let store = Local::default();
+    let node = Node::start(&store);
+    node.announce("odber");
+    seconds(2).await;
+    node.kill();
+    let again = Node::start(&store);
+    again.announce("snuska");
+    seconds(40).await;
+    let calls = store.counters();
+    assert_eq!((calls.writes, calls.grants), (2, 1));
+    let record = store.get(KEY).await.expect("it is up").expect("announced");
+    assert!(record.value.contains("snuska"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn announcement_that_lapsed_while_the_node_was_away_is_written_anew() {
+    let store = Local::default();
+    let node = Node::start(&store);
+    node.announce("odber");
+    seconds(2).await;
+    node.kill();
+    seconds(40).await;
+    assert!(!announced(&store).await);
+    let again = Node::start(&store);
+    again.announce("odber");
+    seconds(2).await;
+    assert!(announced(&store).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lapsed_announcement_is_back_soon_after_the_store() {
+    let store = Local::default();
+    let node = Node::start(&store);
+    node.announce("odber");
+    seconds(2).await;
+    store.down(true);
+    seconds(40).await;
+    store.down(false);
+    assert!(!announced(&store).await);
+    seconds(2).await;
+    assert!(announced(&store).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn steady_node_makes_few_calls() {
+    let store = Local::default();
+    let node = Node::start(&store);
+    node.announce("odber");
+    seconds(10).await;
+    let before = store.counters();
+    seconds(60).await;
+    let after = store.counters();
+    let renewals = after.renewals - before.renewals;
+    assert!(renewals <= 6, "{renewals} renewals a minute");
+    let watches = after.watches - before.watches;
+    assert!(watches <= 2 * 60 / 15, "{watches} watches a minute");
+    assert_eq!((after.lists, after.gets), (before.lists, before.gets));
+    assert_eq!((after.writes, after.grants), (before.writes, before.grants));
+}
--- a/src/membership/direct/tests/ledger.rs
+++ b/src/membership/direct/tests/ledger.rs
@@ -7,7 +7,7 @@
 
 /// Reads a plan that is only its number.
 #[derive(Debug)]
-struct Numbers;
+pub(super) struct Numbers;
 
 impl Source for Numbers {
     fn prefix(&self) -> &'static str {
@@ -44,6 +44,7 @@
         value: value.into(),
         revision: Revision(revision),
         write_id: WriteId(0),
+        lease: None,
     }
 }
 
--- a/src/membership/direct/tests/mod.rs
+++ b/src/membership/direct/tests/mod.rs
@@ -1,3 +1,5 @@
+mod announcer;
 mod ledger;
 mod roster;
 mod rumour;
+mod spacing;
--- a/src/plan/tests/fake.rs
+++ b/src/plan/tests/fake.rs
@@ -125,6 +125,7 @@
                     value,
                     revision,
                     write_id: write.id,
+                    lease: write.lease,
                 };
                 self.records.insert(write.key, record);
             }
--- a/src/standin/store/mod.rs
+++ b/src/standin/store/mod.rs
@@ -6,6 +6,7 @@
 mod counters;
 mod faults;
 mod limit;
+mod local;
 mod service;
 mod state;
 #[cfg(test)]
@@ -21,6 +22,7 @@
 
 pub use counters::Counters;
 pub use faults::Faults;
+pub use local::Local;
 
 /// What the stand-in serves at most.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/standin/store/state.rs
+++ b/src/standin/store/state.rs
@@ -15,19 +15,13 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct State {
     revision: Revision,
-    entries: BTreeMap<String, Entry>,
+    entries: BTreeMap<String, Record>,
     leases: BTreeMap<u64, Term>,
     history: VecDeque<Change>,
     compacted: Revision,
     last_lease: u64,
 }
 
-#[derive(Clone, Debug)]
-struct Entry {
-    record: Record,
-    lease: Option<Lease>,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Term {
     ttl: Duration,
@@ -36,7 +30,7 @@
 
 impl State {
     pub(super) fn get(&self, key: &str) -> Option<Record> {
-        self.entries.get(key).map(|entry| entry.record.clone())
+        self.entries.get(key).cloned()
     }
 
     pub(super) fn list(&self, prefix: &str) -> Listing {
@@ -44,7 +38,7 @@
             .entries
             .range(prefix.to_owned()..)
             .take_while(|(key, _)| key.starts_with(prefix))
-            .map(|(_, entry)| entry.record.clone())
+            .map(|(_, record)| record.clone())
             .collect();
         Listing {
             revision: self.revision,
@@ -57,15 +51,13 @@
         let holds = match write.expect {
             Expect::Anything => true,
             Expect::Absent => present.is_none(),
-            Expect::Revision(revision) => {
-                present.is_some_and(|entry| entry.record.revision == revision)
-            }
+            Expect::Revision(revision) => present.is_some_and(|record| record.revision == revision),
         };
         let lease_gone = write
             .lease
             .is_some_and(|lease| !self.leases.contains_key(&lease.0));
         if !holds || lease_gone {
-            return Written::NotApplied(present.map(|entry| entry.record.clone()));
+            return Written::NotApplied(present.cloned());
         }
         let Some(value) = write.value else {
             self.delete(&write.key);
@@ -77,13 +69,10 @@
             value,
             revision: self.revision,
             write_id: write.id,
-        };
-        self.remember(Change::Put(record.clone()));
-        let entry = Entry {
-            record,
             lease: write.lease,
         };
-        self.entries.insert(write.key, entry);
+        self.remember(Change::Put(record.clone()));
+        self.entries.insert(write.key, record);
         Written::Applied(self.revision)
     }
 
@@ -110,7 +99,7 @@
         let keys: Vec<String> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.lease == Some(lease))
+            .filter(|(_, record)| record.lease == Some(lease))
             .map(|(key, _)| key.clone())
             .collect();
         for key in keys {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -46,6 +46,9 @@
     pub revision: Revision,
     /// Who wrote it.
     pub write_id: WriteId,
+    /// Lease under which it was written.
+    #[serde(default)]
+    pub lease: Option<Lease>,
 }
 
 /// Records under a prefix.
