--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -4,10 +4,13 @@
 //! The node is the same as everywhere else; only who tells it what differs. A
 //! [`Host`] translates the words of the platform, and decides nothing.
 
+mod bounds;
 mod endpoint;
 mod reload;
 mod scrape;
 mod settings;
+#[cfg(test)]
+mod tests;
 mod word;
 
 use std::net::SocketAddr;
@@ -41,6 +44,7 @@
 use crate::telemetry::trace::Tracer;
 use crate::{Error, Result, telemetry};
 
+pub use bounds::Bounds;
 pub use reload::{Reload, Reloaded};
 pub use settings::{GRACE_SHARE, Settings};
 pub use word::{Host, Reply, Word};
--- /dev/null
+++ b/src/node/hosted/tests.rs
@@ -0,0 +1,38 @@
+//! Budgets that follow from the bounds of a platform.
+
+use super::{Bounds, Settings};
+
+fn within(checks_per_s: f64, retry_ratio: f64) -> Settings {
+    Settings::default().within(Bounds {
+        checks_per_s,
+        retry_ratio,
+    })
+}
+
+/// Health checks a second that a backend server gets at most.
+fn checks(settings: &Settings) -> f64 {
+    let regular = 1.0 / settings.registry.probe_interval.as_secs_f64();
+    regular + settings.registry.gate.asks_per_s
+}
+
+fn extra(settings: &Settings) -> f64 {
+    settings.tuning.routing.retry_ratio + settings.tuning.routing.copy_ratio
+}
+
+cases! {
+    checks_stay_below_their_bound: {
+        for bound in [1.0, 5.0, 20.0, 60.0, 500.0] {
+            let checks = checks(&within(bound, 0.2));
+            assert!(checks <= bound * 0.75, "{checks} of {bound}");
+        }
+    };
+    wide_bound_does_not_raise_what_is_needed: {
+        assert_eq!(checks(&within(500.0, 0.2)), checks(&Settings::default()));
+    };
+    retries_and_copies_stay_below_their_bound: {
+        for bound in [0.0, 0.05, 0.2, 1.0] {
+            let extra = extra(&within(60.0, bound));
+            assert!(extra <= bound * 0.75, "{extra} of {bound}");
+        }
+    };
+}
