--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -9,7 +9,7 @@
 
 use futures::future::try_join_all;
 
-pub use upstream::{Place, Spec, Upstream};
+pub use upstream::{Place, Spec, Upstream, Wires};
 
 use super::http::Client;
 use super::process::Process;
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -13,6 +13,7 @@
 pub mod promises;
 pub mod report;
 pub mod slopes;
+pub mod soak;
 #[cfg(test)]
 mod tests;
 pub mod traffic;
--- a/src/bin/monsooncove-bench/app.rs
+++ b/src/bin/monsooncove-bench/app.rs
@@ -19,6 +19,7 @@
 pub async fn run(matches: &ArgMatches) -> Result<bool> {
     match matches.subcommand() {
         Some(("demo", matches)) => run_demo(matches).await,
+        Some(("soak", matches)) => crate::soak::run(matches).await,
         Some(("load", matches)) => Ok(run_load(matches).await),
         Some(("overhead", matches)) => run_overhead(matches).await,
         Some(("explain", matches)) => run_explain(matches),
--- a/src/bin/monsooncove-bench/clap_app.rs
+++ b/src/bin/monsooncove-bench/clap_app.rs
@@ -7,6 +7,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(demo())
+        .subcommand(crate::soak::command())
         .subcommand(load())
         .subcommand(overhead())
         .subcommand(explain())
--- a/src/bin/monsooncove-bench/main.rs
+++ b/src/bin/monsooncove-bench/main.rs
@@ -4,6 +4,7 @@
 mod clap_app;
 mod policy;
 mod slopes;
+mod soak;
 
 use std::process::ExitCode;
 
--- a/src/standin/wire/tests.rs
+++ b/src/standin/wire/tests.rs
@@ -71,6 +71,10 @@
         assert_eq!(through(Mode::Hold, None), None);
     held_bytes_pass_later:
         assert_eq!(through(Mode::Hold, Some(Mode::Pass)), Some(7));
+    holds_answers:
+        assert_eq!(through(Mode::HoldAnswers, None), None);
+    held_answers_come_later:
+        assert_eq!(through(Mode::HoldAnswers, Some(Mode::Pass)), Some(7));
     cuts_open_connections:
         assert_eq!(through(Mode::Cut, None), None);
 }
