--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -166,7 +166,9 @@
 fn help_is_printed() {
     let mut session = Session::default();
     session.run(NODE, &["--help"], "");
-    for command in ["demo", "soak", "load", "overhead", "explain", "store", "backend"] {
+    for command in [
+        "demo", "soak", "load", "overhead", "explain", "store", "backend",
+    ] {
         session.run(BENCH, &[command, "--help"], "");
     }
     session.run(BENCH, &["--help"], "");
