End a stop though another node stands still

A node that stops sent GOAWAY on its links and waited for the other side to close them; one that stood still (SIGSTOP) never did, and the stop took the whole grace of 30 s, though the last call had ended long before. Ruled out: calls in hand (all ended at their deadlines).

Change: once no call runs on a link, the other node has the time of a ping without answer (3 s) to close it.

--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -11,9 +11,11 @@
 mod tests;
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
+use tokio_util::sync::CancellationToken;
 
 use super::demo::{Deployment, wait_until_announced, wait_until_in_force};
 use super::fleet::{self, Fleet, Programs};
@@ -25,13 +27,17 @@
 use crate::standin::caller::{self, Books, Ending};
 
 use play::Player;
-use schedule::Disturbance;
+use schedule::CALM;
 
 /// Time after the last fault from which on calls must be answered again. Calls
 /// of nodes that stood still may still be under way, and cut ones be retried.
 const RECOVERY: Duration = Duration::from_secs(3);
+/// Longest time by which graceful stops may put off the last fault.
+const OVERTIME: Duration = Duration::from_secs(60);
 /// Least share of the calls after it that are answered, in percent.
 const RECOVERED_PERCENT: u64 = 99;
+/// Most calls that are shown of those that show a violation.
+const SEEN_MAX: usize = 5;
 /// What must hold under any fault; the others bind only what a node can know.
 const PROMISES: [Promise; 4] = [
     Promise::WholeAnswers,
@@ -65,6 +71,8 @@
     pub figures: Figures,
     /// What was violated; empty when all held.
     pub violated: Vec<&'static str>,
+    /// Some of the calls that were not answered after the last fault.
+    pub seen: Vec<String>,
 }
 
 impl Outcome {
@@ -99,21 +107,35 @@
         targets: fleet.targets(),
         kinds: traffic::kinds(&plan),
         rate: settings.rate,
-        duration: settings.duration,
+        duration: settings.duration + OVERTIME,
         seed,
         ..caller::Settings::default()
     };
     let origin = Instant::now();
-    let calling = caller::run(calls, origin, |_| ());
+    let stop = CancellationToken::new();
+    let calling = caller::run_until(calls, origin, &stop, |_| ());
     let player = Player {
         fleet: &mut fleet,
         operator: &operator,
         origin,
     };
-    let (books, calm_from) = tokio::join!(calling, player.play(&schedule));
+    let playing = async {
+        let calm_from = player.play(&schedule).await;
+        tokio::time::sleep(CALM).await;
+        stop.cancel();
+        calm_from
+    };
+    let (books, calm_from) = tokio::join!(calling, playing);
     let calm_from = calm_from?;
     let violated = judge(&mut fleet, &operator, &books, calm_from).await?;
-    Ok(outcome(seed, &schedule, &books, violated))
+    let seen = unanswered(&fleet, &books, calm_from);
+    Ok(Outcome {
+        seed,
+        disturbances: schedule.len(),
+        figures: figures(&books),
+        violated,
+        seen,
+    })
 }
 
 async fn judge(
@@ -146,12 +168,37 @@
     row.calls > 0 && row.answered * 100 >= row.calls * RECOVERED_PERCENT
 }
 
-fn outcome(
-    seed: u64,
-    schedule: &[Disturbance],
-    books: &Books,
-    violated: Vec<&'static str>,
-) -> Outcome {
+/// Calls after the recovery that were not answered, a line each.
+fn unanswered(fleet: &Fleet, books: &Books, calm_from: Duration) -> Vec<String> {
+    let late = books
+        .entries()
+        .iter()
+        .filter(|entry| entry.due >= calm_from + RECOVERY && entry.ending != Ending::Answered);
+    let line = |entry: &caller::Entry| {
+        let node = entry.target.and_then(|target| name(fleet, target));
+        format!(
+            "call {} of {} at {}, due {:.3} s after the start, {:.3} s after the last fault: {:?} after {:.3} s",
+            entry.id,
+            books.kind(entry).route,
+            node.as_deref().unwrap_or("an unknown node"),
+            entry.due.as_secs_f64(),
+            entry.due.saturating_sub(calm_from).as_secs_f64(),
+            entry.ending,
+            entry.elapsed.as_secs_f64(),
+        )
+    };
+    late.take(SEEN_MAX).map(line).collect()
+}
+
+/// Name of the node that takes calls at `address`.
+fn name(fleet: &Fleet, address: SocketAddr) -> Option<String> {
+    let mut upstreams = fleet.upstreams().iter();
+    let wire = |wires: &fleet::Wires| wires.caller.address() == address;
+    let found = upstreams.find(|upstream| upstream.wires.as_ref().is_some_and(wire))?;
+    Some(found.place.instance())
+}
+
+fn figures(books: &Books) -> Figures {
     let mut wrong = Ledger::default();
     let is_wrong = |ending: &Ending| matches!(ending, Ending::Mixed | Ending::Cut);
     let count = books
@@ -159,10 +206,5 @@
         .iter()
         .filter(|entry| is_wrong(&entry.ending));
     wrong.add(Promise::WholeAnswers, 0, count.count() as u64);
-    Outcome {
-        seed,
-        disturbances: schedule.len(),
-        figures: Figures::new(&books.row(|_| true), &wrong),
-        violated,
-    }
+    Figures::new(&books.row(|_| true), &wrong)
 }
--- a/src/bench/tests/promises.rs
+++ b/src/bench/tests/promises.rs
@@ -29,6 +29,7 @@
     books.add(Entry {
         id: "1".into(),
         kind: 0,
+        target: None,
         due: SECOND,
         elapsed: SECOND,
         ending,
--- a/src/bin/monsooncove-bench/soak.rs
+++ b/src/bin/monsooncove-bench/soak.rs
@@ -81,6 +81,11 @@
         figures.lost,
         verdict(outcome),
     );
+    if !outcome.passes() {
+        for line in &outcome.seen {
+            println!("  {line}");
+        }
+    }
     Ok(())
 }
 
--- a/src/entry/tests/drain.rs
+++ b/src/entry/tests/drain.rs
@@ -5,6 +5,7 @@
 use http::{Method, Request};
 use http_body::Frame;
 use http_body_util::{BodyExt, Empty, StreamBody};
+use tokio::net::TcpStream;
 
 use super::world::{BackendServer, DESK, OK, Spec, Step, World, collect, run, start};
 use crate::peer::wire::Open;
@@ -113,6 +114,18 @@
     assert_eq!(first.seen().len() + second.seen().len(), 30);
 }
 
+/// A node that stands still keeps its link open and says nothing more.
+async fn node_stops_beside_a_silent_one() {
+    let server = BackendServer::start(&[OK]).await;
+    let mut world = World::start(&[&server]).await;
+    let desk = world.desks.remove(0);
+    let socket = TcpStream::connect(desk.instance.peer).await;
+    let link = h2::client::handshake(socket.expect("a connection")).await;
+    let (_requests, silent) = link.expect("a handshake");
+    desk.stop().await;
+    drop(silent);
+}
+
 /// A call that waits behind another is given back; one that runs is not.
 async fn recalled_while(queued: bool, expected: &str, runs: usize) {
     let server = BackendServer::start(&[SLOW]).await;
@@ -158,6 +171,7 @@
     running_call_is_not_recalled: run(recalled_while(false, "200 OK", 2));
     running_call_outlives_the_stop: run(running_call_is_finished());
     long_upload_outlives_the_stop: run(long_upload_is_finished());
+    stop_ends_though_another_node_is_silent: run(node_stops_beside_a_silent_one());
     draining_gate_is_passed_over: run(draining_gate_sends_calls_elsewhere());
     stop_under_load_cuts_no_call: run(node_stops_under_load());
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -8,7 +8,7 @@
 use h2::server::Connection;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::{interval, timeout};
+use tokio::time::{interval, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -49,7 +49,7 @@
             accepted = listener.accept() => accepted,
         };
         let Ok((socket, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+            sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
@@ -84,9 +84,11 @@
             accepted = link.accept() => accepted,
             () = shutdown.cancelled(), if !closing => {
                 closing = true;
+                calls.close();
                 link.graceful_shutdown();
                 continue;
             }
+            () = parting(&calls, settings), if closing => break,
         };
         match accepted {
             Some(Ok((request, respond))) => {
@@ -107,6 +109,13 @@
     calls.wait().await;
 }
 
+/// Returns when the other node has had time to see that the link closes. One
+/// that stands still does not answer, and must not hold up the stop.
+async fn parting(calls: &TaskTracker, settings: Settings) {
+    calls.wait().await;
+    sleep(settings.ping_timeout).await;
+}
+
 async fn handshake(
     socket: TcpStream,
     settings: Settings,
--- a/src/standin/caller/books.rs
+++ b/src/standin/caller/books.rs
@@ -1,5 +1,6 @@
 //! What became of every call.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -16,6 +17,8 @@
     pub id: String,
     /// Index of its kind.
     pub kind: usize,
+    /// First address that it was sent to.
+    pub target: Option<SocketAddr>,
     /// When it was due, since the start.
     pub due: Duration,
     /// Time from then to its ending.
--- a/src/standin/caller/mod.rs
+++ b/src/standin/caller/mod.rs
@@ -17,6 +17,7 @@
 
 use http::Method;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 pub use books::{Books, Entry, Row};
 pub use client::{Client, Ending, Protocol};
@@ -90,12 +91,26 @@
 
 /// Makes all calls, the first ones at `origin`, and waits for the last ending.
 /// `started` is told the time of each call that is due.
-pub async fn run(settings: Settings, origin: Instant, mut started: impl FnMut(Duration)) -> Books {
+pub async fn run(settings: Settings, origin: Instant, started: impl FnMut(Duration)) -> Books {
+    let never = CancellationToken::new();
+    run_until(settings, origin, &never, started).await
+}
+
+/// The same, but makes no more calls once `stop` is cancelled.
+pub async fn run_until(
+    settings: Settings,
+    origin: Instant,
+    stop: &CancellationToken,
+    mut started: impl FnMut(Duration),
+) -> Books {
     let client = Client::new(settings.protocol);
     let settings = Arc::new(settings);
     let (sender, mut endings) = mpsc::unbounded_channel();
     for (number, arrival) in Schedule::new(&settings).enumerate() {
-        tokio::time::sleep_until((origin + arrival.due).into()).await;
+        let due = tokio::time::sleep_until((origin + arrival.due).into());
+        if stop.run_until_cancelled(due).await.is_none() {
+            break;
+        }
         started(arrival.due);
         let (client, settings, sender) = (client.clone(), Arc::clone(&settings), sender.clone());
         tokio::spawn(async move {
@@ -105,6 +120,7 @@
             let entry = Entry {
                 id,
                 kind: arrival.kind,
+                target: arrival.targets.first().copied(),
                 due: arrival.due,
                 elapsed: origin.elapsed().saturating_sub(arrival.due),
                 ending,
--- a/src/standin/caller/tests.rs
+++ b/src/standin/caller/tests.rs
@@ -42,6 +42,7 @@
     Entry {
         id: "1".into(),
         kind: 0,
+        target: None,
         due: Duration::ZERO,
         elapsed: Duration::from_millis(millis),
         ending,
