--- a/src/bench/soak/mod.rs
+++ b/src/bench/soak/mod.rs
@@ -33,7 +33,7 @@
 /// of nodes that stood still may still be under way, and cut ones be retried.
 const RECOVERY: Duration = Duration::from_secs(3);
 /// Longest time by which graceful stops may put off the last fault.
-const OVERTIME: Duration = Duration::from_secs(60);
+const OVERTIME: Duration = Duration::from_mins(1);
 /// Least share of the calls after it that are answered, in percent.
 const RECOVERED_PERCENT: u64 = 99;
 /// Most calls that are shown of those that show a violation.
@@ -72,7 +72,7 @@
     /// What was violated; empty when all held.
     pub violated: Vec<&'static str>,
     /// Some of the calls that were not answered after the last fault.
-    pub seen: Vec<String>,
+    pub unanswered: Vec<String>,
 }
 
 impl Outcome {
@@ -128,13 +128,13 @@
     let (books, calm_from) = tokio::join!(calling, playing);
     let calm_from = calm_from?;
     let violated = judge(&mut fleet, &operator, &books, calm_from).await?;
-    let seen = unanswered(&fleet, &books, calm_from);
+    let unanswered = unanswered(&fleet, &books, calm_from);
     Ok(Outcome {
         seed,
         disturbances: schedule.len(),
         figures: figures(&books),
         violated,
-        seen,
+        unanswered,
     })
 }
 
--- a/src/bin/monsooncove-bench/soak.rs
+++ b/src/bin/monsooncove-bench/soak.rs
@@ -82,7 +82,7 @@
         verdict(outcome),
     );
     if !outcome.passes() {
-        for line in &outcome.seen {
+        for line in &outcome.unanswered {
             println!("  {line}");
         }
     }
