--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -131,6 +131,7 @@
         books.add(Entry {
             id: id.to_owned(),
             kind: 0,
+            target: None,
             due: Duration::ZERO,
             elapsed: Duration::ZERO,
             ending,
