--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod sheet;
 pub mod standin;
 pub mod store;
+mod task;
 pub mod telemetry;
 
 pub use error::{Error, Result};
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -35,6 +35,7 @@
 use crate::clock::Clock;
 use crate::plan::{Plan, Version};
 use crate::store::Client;
+use crate::task::spawn_until;
 
 pub use announcement::{Announcement, Departed};
 pub use board::Board;
@@ -248,13 +249,3 @@
         shutdown: shutdown.clone(),
     }
 }
-
-fn spawn_until(shutdown: &CancellationToken, work: impl Future<Output = ()> + Send + 'static) {
-    let shutdown = shutdown.clone();
-    tokio::spawn(async move {
-        tokio::select! {
-            () = work => {}
-            () = shutdown.cancelled() => {}
-        }
-    });
-}
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -17,6 +17,7 @@
 use super::{Epoch, Handle, Instance, Settings};
 use crate::clock::Clock;
 use crate::store::Client;
+use crate::task::spawn_until;
 
 /// Suspicions that may wait to be looked at.
 const SUSPICION_QUEUE: usize = 256;
@@ -103,13 +104,3 @@
     let millis = since.map_or(0, |since| since.as_millis());
     Epoch(u64::try_from(millis).unwrap_or(u64::MAX))
 }
-
-fn spawn_until(shutdown: &CancellationToken, work: impl Future<Output = ()> + Send + 'static) {
-    let shutdown = shutdown.clone();
-    tokio::spawn(async move {
-        tokio::select! {
-            () = work => {}
-            () = shutdown.cancelled() => {}
-        }
-    });
-}
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -13,18 +13,17 @@
 mod tests;
 mod word;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::Stop;
 use super::control::Reading;
+use super::listen::bind;
 use super::observe::Telemetry;
-use super::path::{Blueprint, Path, spawn_until};
+use super::path::{Blueprint, Path};
 use super::report::Reporter;
 use super::stop::Orders;
 use crate::backend::registry::{self, Registry};
@@ -37,12 +36,13 @@
 use crate::membership::{Epoch, Instance, State};
 use crate::peer::Links;
 use crate::store::Client;
+use crate::task::spawn_until;
 use crate::telemetry::decision::Decisions;
 use crate::telemetry::journal::Journal;
 use crate::telemetry::log::Identity;
 use crate::telemetry::metric::{Metrics, Scrape};
 use crate::telemetry::trace::Tracer;
-use crate::{Error, Result, telemetry};
+use crate::{Result, telemetry};
 
 pub use bounds::Bounds;
 pub use reload::{Reload, Reloaded};
@@ -258,12 +258,3 @@
         state: State::Present,
     }
 }
-
-async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Listen {
-            address: address.to_string(),
-            source,
-        })
-}
--- a/src/node/listen.rs
+++ b/src/node/listen.rs
@@ -64,7 +64,8 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener> {
+/// Listens at `address`.
+pub(super) async fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
         .map_err(|source| Error::Listen {
--- a/src/node/path.rs
+++ b/src/node/path.rs
@@ -17,6 +17,7 @@
 use crate::membership::Handle;
 use crate::peer::{self, Links};
 use crate::routing::{self, Place, Router};
+use crate::task::spawn_until;
 use crate::telemetry::log::Identity;
 
 /// What a data path is made of.
@@ -168,14 +169,3 @@
         self.upkeep.cancel();
     }
 }
-
-/// Runs `work` until `shutdown`.
-pub fn spawn_until(shutdown: &CancellationToken, work: impl Future<Output = ()> + Send + 'static) {
-    let shutdown = shutdown.clone();
-    tokio::spawn(async move {
-        tokio::select! {
-            () = work => {}
-            () = shutdown.cancelled() => {}
-        }
-    });
-}
