Tell callers to come back when there is room

Cause: every refusal named the same 100 ms.

Change: an entry tells the time until a gate has room as it knows it, between 100 and 300 ms, spread by a quarter; 20 ms after a server shed beside free ones. entry/tests/comebacks.rs and routing/tests/room.rs.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -15,11 +15,11 @@
 use crate::peer::Upload;
 use crate::routing::{self, Ask, Avoid, Choice};
 
-use super::Entry;
 use super::attempt::Attempted;
 use super::claim::{self, Claim, Obstacle};
 use super::hold::{Held, hold};
 use super::request::{Refusable, Routable};
+use super::{Comeback, Entry};
 
 use http_body_util::BodyExt;
 
@@ -156,7 +156,8 @@
             }
             Ended::NotRun(refused) => {
                 recording.end(End::NotRun(refused.reason()));
-                self.not_run(refused, "")
+                let after = self.comeback(refused.reason(), &routable);
+                self.not_run(refused, after, "")
             }
             Ended::Unknown(unknown) => {
                 recording.end(End::Unknown(unknown.loss()));
@@ -208,17 +209,31 @@
             end: End::NotRun(refused.reason()),
         });
         self.parts.observer.event(Event::Refused(refused.reason()));
-        self.not_run(refused, &refusable.addresses)
+        let after = self.parts.settings.retry_after;
+        self.not_run(refused, after, &refusable.addresses)
     }
 
-    fn not_run(&self, refused: NotRun, addresses: &str) -> Response<Body> {
+    fn not_run(&self, refused: NotRun, retry_after: Duration, addresses: &str) -> Response<Body> {
         self.parts.dialect.not_run(&Refusal {
             reason: refused.reason(),
-            retry_after: self.parts.settings.retry_after,
+            retry_after,
             addresses,
         })
     }
 
+    /// When the caller of a call that was refused may come back.
+    fn comeback(&self, reason: Reason, routable: &Routable) -> Duration {
+        let now = self.parts.clock.now();
+        let mut router = self.router();
+        let comeback = Comeback {
+            reason,
+            room: router.room(now, routable.service, routable.allowed),
+            draw: router.draw(),
+        };
+        drop(router);
+        comeback.after(&self.parts.settings)
+    }
+
     async fn forward(&self, call: Call<Routed>, routable: &mut Routable, upload: Upload) -> Ended {
         let mut progress = Progress::new(call.deadline(), self.story(routable));
         let mut upload = upload;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -48,6 +48,7 @@
 mod answer;
 mod attempt;
 mod claim;
+mod comeback;
 mod copy;
 mod forward;
 mod hold;
@@ -72,6 +73,7 @@
 
 use age::Ages;
 
+pub use comeback::Comeback;
 pub use server::serve;
 pub use settings::Settings;
 
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -40,8 +40,15 @@
     /// Whether a call with less time left than is usual on its route counts as
     /// one that has come back, whose objective is nearer.
     pub counts_ages: bool,
-    /// When a caller whose call was refused may come back.
+    /// When a caller whose call was refused may come back, where nothing else
+    /// is known.
     pub retry_after: Duration,
+    /// The same, where a backend server refused beside free ones.
+    pub retry_after_min: Duration,
+    /// Longest such time, where all backend servers are full.
+    pub retry_after_max: Duration,
+    /// Share of these times by which they are made shorter or longer at random.
+    pub retry_spread: f64,
     /// Bytes of an answer to an idempotent call that are read before its head
     /// is sent to the caller, so that a cut answer can be replaced.
     pub held_answer_bytes: usize,
@@ -65,6 +72,9 @@
             caller_transit: Duration::ZERO,
             counts_ages: false,
             retry_after: Duration::from_secs(1),
+            retry_after_min: Duration::from_secs(1),
+            retry_after_max: Duration::from_secs(1),
+            retry_spread: 0.0,
             held_answer_bytes: 0,
         }
     }
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -4,6 +4,7 @@
 mod ages;
 mod bodies;
 mod claims;
+mod comebacks;
 mod depth;
 mod drain;
 mod hostile;
--- a/src/node/hosted/settings.rs
+++ b/src/node/hosted/settings.rs
@@ -106,6 +106,9 @@
             caller_transit: Duration::from_millis(16),
             counts_ages: true,
             retry_after: Duration::from_millis(100),
+            retry_after_min: Duration::from_millis(20),
+            retry_after_max: Duration::from_millis(300),
+            retry_spread: 0.25,
             copy_after: 0.5,
             held_answer_bytes: 64 * 1024,
             ..entry::Settings::default()
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -11,14 +11,14 @@
 use crate::clock::Time;
 use crate::gate::Load;
 use crate::membership::Situation;
-use crate::plan::{Route, key};
+use crate::plan::{Regions, Route, key};
 
 use super::budget::Budget;
 use super::candidates::{Candidate, Draw};
 use super::directory::Directory;
 use super::key::Backend;
 use super::member::Distance;
-use super::pool::Pool;
+use super::pool::{Group, Pool};
 use super::{Ask, Choice, Event, Place, Settings};
 
 /// Time after the last call to a service in which its backend servers are probed.
@@ -140,6 +140,32 @@
         }
     }
 
+    /// Time until a backend server of `service` that takes work is expected to have
+    /// room for one more call; nothing while none does.
+    #[must_use]
+    pub fn room(&self, now: Time, service: key::Service, regions: Regions) -> Option<Duration> {
+        let pool = self.directory.pools.get(service)?;
+        let open = |group: &&Group| group.site.in_service && group.site.allows(regions);
+        let members = pool.groups.iter().filter(open);
+        let members = members.flat_map(|group| &group.members);
+        let members = members.filter_map(|&backend| self.directory.arena.get(backend));
+        let taking = members.filter(|member| {
+            let health = &member.health;
+            !member.leaving && health.closed(now).is_none() && !health.is_ejected(now)
+        });
+        let waits_us = taking.map(|member| {
+            let expected = member.estimate.expect(now, &pool.mean, &self.settings);
+            expected.wait_us
+        });
+        let first_us = waits_us.min_by(f64::total_cmp)?;
+        Some(Duration::from_secs_f64(first_us / 1e6))
+    }
+
+    /// A number from zero to one, drawn evenly.
+    pub fn draw(&mut self) -> f64 {
+        self.random.random()
+    }
+
     /// Takes a token of the retry budget. Tells whether there was one.
     pub fn may_retry(&mut self, now: Time, service: key::Service) -> bool {
         self.budget(now, service).retries.take(now, 1.0)
--- a/src/routing/tests/mod.rs
+++ b/src/routing/tests/mod.rs
@@ -2,3 +2,4 @@
 mod failures;
 mod harness;
 mod objective;
+mod room;
