Let sheets say objective and attempts of a route

The plan has both since the product runs on the platform; operators of the product's own interface could not say them. Optional columns: sheets without them are read and written as before, to the letter. Weighted targets, hosts and the cold rate are still the platform's alone: the first two need another way from a request to its route, and the last a backend server that tells how long it is cold.

--- a/src/sheet/column.rs
+++ b/src/sheet/column.rs
@@ -40,11 +40,15 @@
     DeadlineMs,
     /// Whether a second copy of a call may run.
     SecondCopy,
+    /// Time within which an answer has its full worth.
+    ObjectiveMs,
+    /// Backend servers that one call may be sent to.
+    Attempts,
 }
 
 impl Column {
     /// Every column in canonical order.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::Kind,
         Self::Name,
         Self::Region,
@@ -61,6 +65,8 @@
         Self::Idempotent,
         Self::DeadlineMs,
         Self::SecondCopy,
+        Self::ObjectiveMs,
+        Self::Attempts,
     ];
 
     /// Position in canonical order.
@@ -89,6 +95,8 @@
             Self::Idempotent => "idempotent",
             Self::DeadlineMs => "deadline_ms",
             Self::SecondCopy => "second_copy",
+            Self::ObjectiveMs => "objective_ms",
+            Self::Attempts => "attempts",
         }
     }
 
@@ -98,6 +106,12 @@
         Self::ALL.into_iter().find(|column| column.as_str() == text)
     }
 
+    /// Whether a sheet may lack the column; its cells then count as blank.
+    #[must_use]
+    pub const fn is_optional(self) -> bool {
+        matches!(self, Self::ObjectiveMs | Self::Attempts)
+    }
+
     /// Whether rows of `kind` fill this column.
     #[must_use]
     pub const fn belongs_to(self, kind: Kind) -> bool {
@@ -114,7 +128,9 @@
             | Self::Worth
             | Self::Idempotent
             | Self::DeadlineMs
-            | Self::SecondCopy => matches!(kind, Kind::Route),
+            | Self::SecondCopy
+            | Self::ObjectiveMs
+            | Self::Attempts => matches!(kind, Kind::Route),
         }
     }
 }
--- a/src/sheet/compile.rs
+++ b/src/sheet/compile.rs
@@ -79,7 +79,11 @@
                 idempotent: route.idempotent,
                 deadline: millis(route.deadline_ms),
                 second_copy: route.second_copy,
-                terms: plan::Terms::default(),
+                terms: plan::Terms {
+                    attempts: route.attempts,
+                    objective: route.objective_ms.map(millis),
+                    ..plan::Terms::default()
+                },
             });
         }
     }
--- a/src/sheet/decode.rs
+++ b/src/sheet/decode.rs
@@ -18,6 +18,7 @@
 const WARM_STEP_MS: RangeInclusive<u32> = 1..=3_600_000;
 const WORTH: RangeInclusive<u32> = 1..=1_000_000;
 const DEADLINE_MS: RangeInclusive<u32> = 1..=3_600_000;
+const ATTEMPTS: RangeInclusive<u32> = 1..=16;
 
 /// Word that stands for every region.
 pub(super) const ALL_REGIONS: &str = "all";
@@ -168,6 +169,9 @@
         let idempotent = self.idempotent();
         let deadline_ms = self.number(Column::DeadlineMs, DEADLINE_MS);
         let second_copy = self.choice(Column::SecondCopy, "yes", "no");
+        let most_ms = deadline_ms.unwrap_or(*DEADLINE_MS.end());
+        let objective_ms = self.optional(Column::ObjectiveMs, 1..=most_ms);
+        let attempts = self.optional(Column::Attempts, ATTEMPTS);
         let route = Route {
             method: method?,
             path: path?,
@@ -176,6 +180,8 @@
             idempotent: idempotent?,
             deadline_ms: deadline_ms?,
             second_copy: second_copy?,
+            objective_ms: objective_ms?,
+            attempts: attempts?,
         };
         self.check_second_copy(&route)
     }
@@ -223,6 +229,14 @@
         None
     }
 
+    #[expect(clippy::option_option, reason = "blank and unreadable are different")]
+    fn optional(&mut self, column: Column, range: RangeInclusive<u32>) -> Option<Option<u32>> {
+        if self.text(column).is_empty() {
+            return Some(None);
+        }
+        self.number(column, range).map(Some)
+    }
+
     fn choice(&mut self, column: Column, yes: &str, no: &str) -> Option<bool> {
         let text = self.text(column);
         if text == yes || text == no {
--- a/src/sheet/heading.rs
+++ b/src/sheet/heading.rs
@@ -12,9 +12,13 @@
 }
 
 impl Heading {
-    /// Whether every column is there.
+    /// Whether every column is there that must be.
     pub fn is_complete(&self) -> bool {
-        self.positions.iter().all(Option::is_some)
+        Column::ALL.into_iter().all(|column| !self.lacks(column))
+    }
+
+    fn lacks(&self, column: Column) -> bool {
+        self.positions[column.index()].is_none() && !column.is_optional()
     }
 
     /// Reads the first row.
@@ -41,7 +45,7 @@
 
     fn reject_missing(&self, row: usize, faults: &mut Vec<Fault>) {
         for column in Column::ALL {
-            if self.positions[column.index()].is_none() {
+            if self.lacks(column) {
                 let remedy = format!("add the column {column}");
                 faults.push(Fault::new(
                     row,
--- a/src/sheet/row.rs
+++ b/src/sheet/row.rs
@@ -153,6 +153,13 @@
     pub deadline_ms: u32,
     /// Whether a second copy of an idempotent call may run.
     pub second_copy: bool,
+    /// Time within which an answer has its full worth; the whole of the longest
+    /// time when absent.
+    #[serde(default)]
+    pub objective_ms: Option<u32>,
+    /// Backend servers that one call may be sent to; as nodes allow when absent.
+    #[serde(default)]
+    pub attempts: Option<u32>,
 }
 
 /// Regions that may serve and store a call.
--- a/src/sheet/tests/faults.rs
+++ b/src/sheet/tests/faults.rs
@@ -39,7 +39,7 @@
         row 2, column B, value "k�ln": export the sheet as CSV in UTF-8
         "#);
     unknown_heading: shows!(faults("cold_allowance", "cold"), @r#"
-        row 1, column F (cold), value "cold": use one of the headings kind, name, region, state, slots, cold_allowance, warm_steps, warm_step_ms, service, method, path, regions, worth, idempotent, deadline_ms, second_copy
+        row 1, column F (cold), value "cold": use one of the headings kind, name, region, state, slots, cold_allowance, warm_steps, warm_step_ms, service, method, path, regions, worth, idempotent, deadline_ms, second_copy, objective_ms, attempts
         row 1, column Q (cold_allowance), value "": add the column cold_allowance
         "#);
     doubled_heading: shows!(faults("second_copy", "worth"), @r#"
--- a/src/sheet/tests/mod.rs
+++ b/src/sheet/tests/mod.rs
@@ -4,3 +4,4 @@
 mod faults;
 mod formats;
 mod properties;
+mod terms;
--- a/src/sheet/write.rs
+++ b/src/sheet/write.rs
@@ -7,18 +7,32 @@
 
 /// Writes a sheet. No cell of a valid sheet needs quotes.
 pub(super) fn to_csv(sheet: &Sheet) -> String {
-    let mut text = Column::ALL.map(Column::as_str).join(",");
-    text.push('\n');
-    for (key, row) in sheet.rows() {
-        text.push_str(&line(key, row));
-        text.push('\n');
+    let rows: Vec<_> = sheet.rows().map(|(key, row)| cells(key, row)).collect();
+    let is_used = |column: &Column| rows.iter().any(|cells| !cells[column.index()].is_empty());
+    let is_written = |column: &Column| !column.is_optional() || is_used(column);
+    let columns: Vec<Column> = Column::ALL.into_iter().filter(is_written).collect();
+    let mut text = join(columns.iter().map(|column| column.as_str()));
+    for cells in &rows {
+        let written = columns.iter().map(|column| cells[column.index()].as_str());
+        text.push_str(&join(written));
     }
     text
 }
 
-/// One row of the canonical text, without its line end.
+fn join<'a>(cells: impl Iterator<Item = &'a str>) -> String {
+    let mut line = cells.collect::<Vec<_>>().join(",");
+    line.push('\n');
+    line
+}
+
+/// One row as people read it, without line end and without blank optional cells
+/// at its end.
 pub(super) fn line(key: &Key, row: &Row) -> String {
-    cells(key, row).join(",")
+    let cells = cells(key, row);
+    let is_shown = |column: &Column| !column.is_optional() || !cells[column.index()].is_empty();
+    let last = Column::ALL.into_iter().rfind(is_shown);
+    let shown = last.map_or(0, |column| column.index() + 1);
+    cells[..shown].join(",")
 }
 
 /// Cells of one row in canonical order.
@@ -56,10 +70,16 @@
             .map_or_else(String::new, |idempotent| choice(idempotent, "yes", "no")),
         Column::DeadlineMs => route.deadline_ms.to_string(),
         Column::SecondCopy => choice(route.second_copy, "yes", "no"),
+        Column::ObjectiveMs => optional(route.objective_ms),
+        Column::Attempts => optional(route.attempts),
         _ => String::new(),
     }
 }
 
+fn optional(value: Option<u32>) -> String {
+    value.map_or_else(String::new, |value| value.to_string())
+}
+
 fn choice(value: bool, yes: &str, no: &str) -> String {
     if value { yes } else { no }.to_owned()
 }
