Remember the latest start that left

Cause, found by a search of event orders: a backend server that left was remembered by its name and one start. Late word of an earlier start under the same name replaced the later one, whose own late reports then counted as news, so that it got work after its leave was acknowledged.

Change: the later of both starts is kept. The search (2,000 orders of reports, farewells, health answers and restarts) failed before, as does the case that it shrank to. A second search checks plans: told by watches twice, by late lists and by other nodes, none goes back and the newest is found; it fails when the guard of the version is taken out.

--- a/src/backend/registry/presence.rs
+++ b/src/backend/registry/presence.rs
@@ -238,9 +238,15 @@
             .any(|departed| departed.process == process && is_same_start(born_ms, departed))
     }
 
-    fn remember(&mut self, departed: Departed) {
-        self.departed
-            .retain(|known| known.process != departed.process);
+    /// Word of an earlier start that comes late does not undo that of a later one.
+    fn remember(&mut self, mut departed: Departed) {
+        let same = |known: &Departed| known.process == departed.process;
+        if let Some(at) = self.departed.iter().position(same)
+            && let Some(known) = self.departed.remove(at)
+        {
+            let starts = known.born_ms.zip(departed.born_ms);
+            departed.born_ms = starts.map(|(known, new)| known.max(new));
+        }
         if self.departed.len() == DEPARTED_MAX {
             self.departed.pop_front();
         }
--- a/src/backend/registry/tests.rs
+++ b/src/backend/registry/tests.rs
@@ -154,6 +154,14 @@
     acknowledged_leave_survives_a_restart: promise_survives_a_restart();
     acknowledged_leave_may_be_recalled_late: promise_is_recalled_late();
     late_report_after_an_unknown_leave_is_outdated: unknown_process_that_leaves();
+    late_word_of_an_earlier_start_undoes_no_leave: {
+        let mut presence = with(&[leaving("a", 2_000, 3)]);
+        presence.leave("b", None, NOW_MS);
+        presence.misdirected();
+        presence.leave("a", Some(1_000), NOW_MS);
+        assert_eq!(presence.report(&report("a", 2_000, 4)), Reaction::Outdated);
+        assert_eq!(process(&presence), "");
+    };
     report_of_another_address_is_foreign: foreign_address();
     health_endpoint_shows_another_process: other_process_at_the_address();
     address_may_change_its_service: service_changes_with_the_process();
--- a/src/membership/direct/tests/ledger.rs
+++ b/src/membership/direct/tests/ledger.rs
@@ -38,7 +38,7 @@
     }
 }
 
-fn record(key: &str, value: &str, revision: u64) -> Record {
+pub(super) fn record(key: &str, value: &str, revision: u64) -> Record {
     Record {
         key: key.into(),
         value: value.into(),
@@ -48,7 +48,7 @@
     }
 }
 
-fn listing(revision: u64, records: Vec<Record>) -> Listing {
+pub(super) fn listing(revision: u64, records: Vec<Record>) -> Listing {
     Listing {
         revision: Revision(revision),
         records,
--- a/src/membership/direct/tests/mod.rs
+++ b/src/membership/direct/tests/mod.rs
@@ -1,5 +1,6 @@
 mod announcer;
 mod ledger;
+mod orders;
 mod roster;
 mod rumour;
 mod spacing;
