--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -4,29 +4,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::uri::PathAndQuery;
-use http::{HeaderMap, Method, Request, Response, Uri, Version as HttpVersion};
+use http::{HeaderMap, Request, Response, Uri, Version as HttpVersion};
 use http_body_util::BodyExt;
-use tokio::sync::Notify;
 use tokio::time::timeout;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::claim::{Claims, Question, Verdict};
 use crate::call::hop;
 use crate::call::{
-    Admission, Admitted, Body, Call, Context, Decision, Dispatched, Duty, End, Event, Ids, Loss,
-    NotRun, Observer, Reason, Recording, Routed, Shed, Situations, Trace, Unknown, region_names,
-    request_name,
+    Admission, Admitted, Body, Call, Context, Decision, Dispatched, Duty, Event, Ids, Loss, NotRun,
+    Observer, Reason, Recording, Routed, Shed, Situations, Trace, request_name,
 };
 use crate::clock::{Clock, Time};
 use crate::dialect::{Dialect, Order, Verdict as Answer};
-use crate::gate::{Arrival, Kind, Load};
-use crate::membership::Situation;
-use crate::plan::{Plan, Regions, Version, key};
+use crate::gate::{Arrival, Load};
+use crate::plan::Version;
 use crate::routing::Place;
 
 use super::answer::Tracked;
-use super::{Client, Connection, Current, Failure, Server};
+use super::rule::Rule;
+use super::{Client, Connection, Current, Failure, Job, Outcome, Progress, Server};
 
 /// Runs calls on this node's own backend server.
 pub struct Executor {
@@ -61,83 +57,6 @@
     }
 }
 
-/// A call for the backend server.
-#[derive(Clone, Debug)]
-pub struct Job {
-    /// Service asked for.
-    pub service: String,
-    /// Method of the request.
-    pub method: Method,
-    /// Path and query.
-    pub path: PathAndQuery,
-    /// End-to-end headers.
-    pub headers: HeaderMap,
-    /// Limits that travel with the call.
-    pub context: Context,
-    /// When the call is worth nothing any more.
-    pub deadline: Time,
-    /// Until when its answer has its full worth, where the plan says so.
-    pub objective: Option<Time>,
-    /// When the entry wants the call back unless it has been begun.
-    pub begin_by: Option<Time>,
-    /// Plan by which the entry chose.
-    pub plan: Version,
-    /// Span of the gate.
-    pub trace: Trace,
-}
-
-/// What became of a call.
-#[derive(Debug)]
-pub enum Outcome {
-    /// The backend server answered.
-    Answered(Response<Body>),
-    /// It certainly did not run.
-    NotRun(NotRun),
-    /// It may have run.
-    Unknown(Unknown),
-}
-
-impl Outcome {
-    fn end(&self) -> End {
-        match self {
-            Self::Answered(response) => End::Answered(response.status()),
-            Self::NotRun(refused) => End::NotRun(refused.reason()),
-            Self::Unknown(unknown) => End::Unknown(unknown.loss()),
-        }
-    }
-}
-
-/// What passes between a running call and whoever waits for it.
-#[derive(Debug, Default)]
-pub struct Progress {
-    /// Told when a queued call is to be withdrawn.
-    pub recall: Notify,
-    /// Told when the gate has let the call through.
-    pub admitted: Notify,
-}
-
-/// What the plan says of a call.
-#[derive(Clone, Debug)]
-struct Rule {
-    situation: Arc<Situation>,
-    route: key::Route,
-    worth: u32,
-    deadline: Duration,
-    idempotent: bool,
-    regions: Option<Vec<String>>,
-}
-
-impl Rule {
-    /// Calls of one route run for a like time, whatever the plan.
-    fn kind(&self) -> Kind {
-        let route = self.situation.plan.route(self.route);
-        if route.terms.objective.is_none() {
-            return Kind::UNTOLD;
-        }
-        Kind(xxh3_64(route.name.as_bytes()))
-    }
-}
-
 impl Executor {
     /// What entries are told of the backend server.
     #[must_use]
@@ -300,54 +219,6 @@
         }
     }
 
-    /// The plan may have changed while the call was queued.
-    fn rule_after_queue(&self, job: &Job, rule: Rule) -> Result<Rule, Reason> {
-        if self.plan() == rule.situation.plan.version {
-            return Ok(rule);
-        }
-        self.rule(job)
-    }
-
-    fn rule(&self, job: &Job) -> Result<Rule, Reason> {
-        let situation = self.situations.situation();
-        let plan = &situation.plan;
-        if plan.version == Version::default() {
-            return Err(Reason::NoPlan);
-        }
-        self.rule_by(&situation, job).map_err(|reason| {
-            let stale = job.plan < plan.version && reason != Reason::Malformed;
-            if stale { Reason::StalePlan } else { reason }
-        })
-    }
-
-    fn rule_by(&self, situation: &Arc<Situation>, job: &Job) -> Result<Rule, Reason> {
-        let plan = &situation.plan;
-        let server = self.server.get().ok_or(Reason::Unreachable)?;
-        if job.service != server.service {
-            return Err(Reason::NoBackendServer);
-        }
-        let service = plan.service_names.get(&job.service);
-        let &service = service.ok_or(Reason::UnknownService)?;
-        let host = hop::host(&job.headers);
-        let route = plan.find(service, host, &job.method, job.path.path());
-        let key = route.ok_or(Reason::UnknownRoute)?;
-        let tenant = find_tenant(plan, &job.context)?;
-        let home = plan.home_regions(key, tenant);
-        let allowed = home.intersection(job.context.allowed(plan));
-        if !contains_region(plan, allowed, &self.place.region) {
-            return Err(Reason::Region);
-        }
-        let route = plan.route(key);
-        Ok(Rule {
-            situation: Arc::clone(situation),
-            route: key,
-            worth: route.worth,
-            deadline: route.deadline,
-            idempotent: route.is_idempotent(&job.method),
-            regions: region_names(plan, allowed),
-        })
-    }
-
     async fn run(
         &self,
         call: Call<Admitted>,
@@ -457,24 +328,3 @@
         }
     }
 }
-
-/// The tenant that a call names.
-///
-/// # Errors
-///
-/// Refuses a name that the plan does not know, since its regions are unknown.
-pub(crate) fn find_tenant(plan: &Plan, context: &Context) -> Result<Option<key::Tenant>, Reason> {
-    let Some(name) = &context.tenant else {
-        return Ok(None);
-    };
-    let tenant = plan.tenant_names.get(name);
-    tenant.copied().map(Some).ok_or(Reason::UnknownTenant)
-}
-
-/// Whether `allowed` holds the region of that name.
-pub(crate) fn contains_region(plan: &Plan, allowed: Regions, name: &str) -> bool {
-    match plan.region_names.get(name) {
-        Some(&region) => allowed.contains(region),
-        None => allowed == Regions::ALL,
-    }
-}
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -9,13 +9,16 @@
 mod current;
 mod executor;
 mod http;
+mod job;
 mod pool;
 pub mod registry;
+mod rule;
 mod watch;
 
 pub use client::{Client, Connection, Failure, Unreachable};
 pub use current::{Current, Server};
-pub use executor::{Executor, Job, Outcome, Progress};
-pub(crate) use executor::{contains_region, find_tenant};
+pub use executor::Executor;
 pub use http::{Http, Settings};
+pub use job::{Job, Outcome, Progress};
+pub(crate) use rule::{contains_region, find_tenant};
 pub use watch::{Watch, watch};
--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -5,8 +5,6 @@
 //! of a leaving process and the closing of its gate are one step, so nothing
 //! reaches the process through this node after it.
 
-#[cfg(test)]
-mod orders;
 mod presence;
 #[cfg(test)]
 mod tests;
--- a/src/backend/registry/tests.rs
+++ b/src/backend/registry/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Which process is taken for the backend server.
 
+mod orders;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/src/backend/registry/orders.rs
+++ b/src/backend/registry/tests/orders.rs
@@ -1,16 +1,14 @@
 //! Arbitrary orders of reports, farewells, answers and restarts.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
-use super::presence::{Presence, Reaction, Report};
-use crate::dialect::Health;
+use super::{NOW_MS, address, health, report};
+use crate::backend::registry::{Presence, Reaction, Report};
 
 const CASES: u32 = 2_000;
-const NOW_MS: u64 = 9_000;
 
 fn config() -> Config {
     Config {
@@ -100,7 +98,10 @@
                 sequence,
                 leaving,
             } => {
-                let report = report(process, born_ms, sequence, leaving);
+                let report = Report {
+                    leaving,
+                    ..report(process, born_ms, sequence)
+                };
                 let reaction = self.presence.report(&report);
                 if leaving && reaction == Reaction::Accepted {
                     self.acknowledge(process, born_ms);
@@ -143,31 +144,6 @@
     }
 }
 
-fn address() -> std::net::SocketAddr {
-    ([10, 0, 0, 1], 8080).into()
-}
-
-fn report(process: &str, born_ms: u64, sequence: u64, leaving: bool) -> Report {
-    Report {
-        process: process.into(),
-        born_ms: Some(born_ms),
-        sequence,
-        service: "odber".into(),
-        address: address(),
-        slots: 9,
-        leaving,
-        cold_for: Duration::ZERO,
-    }
-}
-
-fn health(process: &str) -> Health {
-    Health {
-        process: Some(process.into()),
-        healthy: true,
-        ..Health::default()
-    }
-}
-
 proptest! {
     #![proptest_config(config())]
 
--- /dev/null
+++ b/src/backend/rule.rs
@@ -0,0 +1,105 @@
+//! What the plan in force says of a call at the gate.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Executor, Job};
+use crate::call::{Context, Reason, hop, region_names};
+use crate::gate::Kind;
+use crate::membership::Situation;
+use crate::plan::{Plan, Regions, Version, key};
+
+/// What the plan says of a call.
+#[derive(Clone, Debug)]
+pub(super) struct Rule {
+    pub(super) situation: Arc<Situation>,
+    pub(super) route: key::Route,
+    pub(super) worth: u32,
+    pub(super) deadline: Duration,
+    pub(super) idempotent: bool,
+    pub(super) regions: Option<Vec<String>>,
+}
+
+impl Rule {
+    /// Calls of one route run for a like time, whatever the plan.
+    pub(super) fn kind(&self) -> Kind {
+        let route = self.situation.plan.route(self.route);
+        if route.terms.objective.is_none() {
+            return Kind::UNTOLD;
+        }
+        Kind(xxh3_64(route.name.as_bytes()))
+    }
+}
+
+impl Executor {
+    /// The plan may have changed while the call was queued.
+    pub(super) fn rule_after_queue(&self, job: &Job, rule: Rule) -> Result<Rule, Reason> {
+        if self.plan() == rule.situation.plan.version {
+            return Ok(rule);
+        }
+        self.rule(job)
+    }
+
+    pub(super) fn rule(&self, job: &Job) -> Result<Rule, Reason> {
+        let situation = self.situations.situation();
+        let plan = &situation.plan;
+        if plan.version == Version::default() {
+            return Err(Reason::NoPlan);
+        }
+        self.rule_by(&situation, job).map_err(|reason| {
+            let stale = job.plan < plan.version && reason != Reason::Malformed;
+            if stale { Reason::StalePlan } else { reason }
+        })
+    }
+
+    fn rule_by(&self, situation: &Arc<Situation>, job: &Job) -> Result<Rule, Reason> {
+        let plan = &situation.plan;
+        let server = self.server.get().ok_or(Reason::Unreachable)?;
+        if job.service != server.service {
+            return Err(Reason::NoBackendServer);
+        }
+        let service = plan.service_names.get(&job.service);
+        let &service = service.ok_or(Reason::UnknownService)?;
+        let host = hop::host(&job.headers);
+        let route = plan.find(service, host, &job.method, job.path.path());
+        let key = route.ok_or(Reason::UnknownRoute)?;
+        let tenant = find_tenant(plan, &job.context)?;
+        let home = plan.home_regions(key, tenant);
+        let allowed = home.intersection(job.context.allowed(plan));
+        if !contains_region(plan, allowed, &self.place.region) {
+            return Err(Reason::Region);
+        }
+        let route = plan.route(key);
+        Ok(Rule {
+            situation: Arc::clone(situation),
+            route: key,
+            worth: route.worth,
+            deadline: route.deadline,
+            idempotent: route.is_idempotent(&job.method),
+            regions: region_names(plan, allowed),
+        })
+    }
+}
+
+/// The tenant that a call names.
+///
+/// # Errors
+///
+/// Refuses a name that the plan does not know, since its regions are unknown.
+pub(crate) fn find_tenant(plan: &Plan, context: &Context) -> Result<Option<key::Tenant>, Reason> {
+    let Some(name) = &context.tenant else {
+        return Ok(None);
+    };
+    let tenant = plan.tenant_names.get(name);
+    tenant.copied().map(Some).ok_or(Reason::UnknownTenant)
+}
+
+/// Whether `allowed` holds the region of that name.
+pub(crate) fn contains_region(plan: &Plan, allowed: Regions, name: &str) -> bool {
+    match plan.region_names.get(name) {
+        Some(&region) => allowed.contains(region),
+        None => allowed == Regions::ALL,
+    }
+}
--- a/src/entry/copy.rs
+++ b/src/entry/copy.rs
@@ -15,7 +15,7 @@
 
 use super::Entry;
 use super::attempt::Attempted;
-use super::forward::Progress;
+use super::progress::Progress;
 use super::request::Routable;
 
 /// Which of two copies ended first.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -52,6 +52,7 @@
 mod copy;
 mod forward;
 mod hold;
+mod progress;
 mod request;
 mod server;
 mod settings;
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -8,7 +8,8 @@
 use crate::clock::Time;
 
 use super::allowance::Allowance;
-use super::asking::{Asking, Step};
+use super::asking::Asking;
+use super::begin::Begun;
 use super::boots::Boots;
 use super::collapse::{self, Collapse};
 use super::life::{Drain, Phase};
@@ -22,14 +23,6 @@
 /// A backend server that has not said for how long it is cold may be cold.
 const UNTIL_TOLD: Time = Time::from_micros(u64::MAX);
 
-/// A call that runs.
-#[derive(Clone, Copy, Debug)]
-struct Begun {
-    kind: Kind,
-    /// Times slower than usual that the machine was when it was begun.
-    slowness: f64,
-}
-
 /// Admission to one backend server.
 #[derive(Debug)]
 pub struct Gate {
@@ -40,17 +33,17 @@
     pub(super) cold_until: Time,
     pub(super) allowance: Allowance,
     /// When the cold allowance lets the next waiting call through.
-    allowed_at: Option<Time>,
+    pub(super) allowed_at: Option<Time>,
     pub(super) slowness: Slowness,
-    asking: Asking,
+    pub(super) asking: Asking,
     /// When the speed is looked at again for calls that wait for it.
-    looks_at: Option<Time>,
+    pub(super) looks_at: Option<Time>,
     boots: Boots,
     collapse: Collapse,
     pub(super) limit: Limit,
-    pause: Pause,
-    running: BTreeMap<Ticket, Begun>,
-    waiting: BTreeMap<Ticket, Kind>,
+    pub(super) pause: Pause,
+    pub(super) running: BTreeMap<Ticket, Begun>,
+    pub(super) waiting: BTreeMap<Ticket, Kind>,
     pub(super) work: Work,
     pub(super) queue: Queue,
 }
@@ -312,81 +305,7 @@
         }
     }
 
-    /// Drops what cannot finish, admits what fits, notes an end of the drain.
-    fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
-        self.expire(now, actions);
-        self.allowed_at = None;
-        self.looks_at = None;
-        while self.in_hand() < self.limit() && !self.pause.is_closed(now) {
-            if self.queue.is_empty() || !self.allows(now) {
-                break;
-            }
-            let Some(ticket) = self.next_begin(now, actions) else {
-                self.looks_at = self.asking.next(&self.settings, &self.slowness);
-                break;
-            };
-            self.begin(now, ticket);
-            actions.push(Action::Admit(ticket));
-        }
-        self.settle_empty();
-    }
-
-    /// The call that is begun next; none while all are better begun later, or
-    /// while the speed of the backend server is not known well enough to tell.
-    fn next_begin(&mut self, now: Time, actions: &mut Vec<Action>) -> Option<Ticket> {
-        match self.asking.step(now, &self.settings, &self.slowness) {
-            Step::Begin => {}
-            Step::Ask => {
-                actions.push(Action::Ask);
-                return None;
-            }
-            Step::Wait => return None,
-        }
-        let held = |ticket| self.is_better_later(now, ticket);
-        let next = self.queue.tickets().find(|&ticket| !held(ticket));
-        if next.is_none() {
-            self.return_held(now, actions);
-        }
-        next
-    }
-
-    /// Gives back what its entry does not want to wait for the end of the spell.
-    fn return_held(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let begin = now + self.slowness.remaining(now);
-        while let Some(ticket) = self.queue.pop_unwanted(begin) {
-            self.refuse(ticket, Reason::LateTurn, actions);
-        }
-    }
-
-    fn is_better_later(&self, now: Time, ticket: Ticket) -> bool {
-        let kind = self.waiting.get(&ticket).copied().unwrap_or_default();
-        let usual = self.work.usual(kind);
-        !self.slowness.outlook(now, usual).delay.is_zero()
-    }
-
-    fn begin(&mut self, now: Time, ticket: Ticket) {
-        self.queue.remove(ticket);
-        self.allowance.note(now);
-        let begun = Begun {
-            kind: self.waiting.remove(&ticket).unwrap_or_default(),
-            slowness: self.slowness.factor(),
-        };
-        self.running.insert(ticket, begun);
-    }
-
-    /// Whether the cold allowance lets one more call through now.
-    fn allows(&mut self, now: Time) -> bool {
-        let Some(per_s) = self.cold_rate(now) else {
-            return true;
-        };
-        let next = self.allowance.next(now, per_s);
-        if next > now {
-            self.allowed_at = Some(next);
-        }
-        next <= now
-    }
-
-    fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
+    pub(super) fn expire(&mut self, now: Time, actions: &mut Vec<Action>) {
         while let Some(ticket) = self.queue.pop_hopeless(now) {
             self.refuse(ticket, Reason::Deadline, actions);
         }
@@ -422,12 +341,12 @@
         }
     }
 
-    fn refuse(&mut self, ticket: Ticket, reason: Reason, actions: &mut Vec<Action>) {
+    pub(super) fn refuse(&mut self, ticket: Ticket, reason: Reason, actions: &mut Vec<Action>) {
         self.waiting.remove(&ticket);
         actions.push(Action::Refuse(ticket, reason));
     }
 
-    fn settle_empty(&mut self) {
+    pub(super) fn settle_empty(&mut self) {
         if self.running.is_empty() && self.queue.is_empty() {
             self.transition(Phase::emptied);
         }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod allowance;
 mod asking;
+mod begin;
 mod boots;
 mod collapse;
 mod life;
