--- a/src/plan/acceptance/attempt.rs
+++ b/src/acceptance/attempt.rs
@@ -1,7 +1,7 @@
 //! One conditional write of a new head, followed up until its outcome is known.
 
+use crate::acceptance::head::{self, HEAD_KEY, Head, Stored};
 use crate::plan::Version;
-use crate::plan::head::{self, HEAD_KEY, Head, Stored};
 use crate::sheet::Sheet;
 use crate::store::{self, Client, Expect, Outcome, Record, Write};
 
--- a/src/plan/head.rs
+++ b/src/acceptance/head.rs
@@ -9,7 +9,7 @@
 use crate::sheet::{Delta, Sheet};
 use crate::store::{self, Client, Expect, Outcome, Record, Revision, WriteId};
 
-use super::Version;
+use crate::plan::Version;
 
 /// Key of the head.
 pub const HEAD_KEY: &str = "/monsooncove/plan/head";
--- a/src/plan/acceptance.rs
+++ b/src/acceptance/mod.rs
@@ -7,6 +7,9 @@
 //! both copies expect the same revision, at most one can take effect.
 
 mod attempt;
+pub mod head;
+#[cfg(test)]
+mod tests;
 
 use std::time::Duration;
 
@@ -16,8 +19,9 @@
 use crate::sheet::{self, Delta, Sheet};
 use crate::store::{self, Client, WriteId};
 
-use super::Version;
-use super::head::{self, Stored};
+use crate::plan::Version;
+
+use head::Stored;
 
 use attempt::{Attempt, Settled};
 
--- a/src/plan/tests/acceptance.rs
+++ b/src/acceptance/tests/acceptance.rs
@@ -1,10 +1,8 @@
 use std::time::Duration;
 
+use crate::acceptance::head::PART_PREFIX;
+use crate::acceptance::{Acceptance, Conflict, Error, Settings, accept, accept_with, current};
 use crate::plan::Version;
-use crate::plan::acceptance::{
-    Acceptance, Conflict, Error, Settings, accept, accept_with, current,
-};
-use crate::plan::head::PART_PREFIX;
 use crate::sheet::{Sheet, example, parse};
 use crate::store::WriteId;
 
--- /dev/null
+++ b/src/acceptance/tests/mod.rs
@@ -0,0 +1,3 @@
+mod acceptance;
+mod fake;
+mod races;
--- a/src/plan/tests/races.rs
+++ b/src/acceptance/tests/races.rs
@@ -1,9 +1,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
+use crate::acceptance::head::{HEAD_KEY, Head};
+use crate::acceptance::{Acceptance, Error, Settings, accept_with};
 use crate::plan::Version;
-use crate::plan::acceptance::{Acceptance, Error, Settings, accept_with};
-use crate::plan::head::{HEAD_KEY, Head};
 use crate::sheet::{Sheet, example, parse};
 use crate::store::WriteId;
 
--- a/src/bench/operator.rs
+++ b/src/bench/operator.rs
@@ -3,8 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 
+use crate::acceptance::{self, Acceptance};
 use crate::plan::Version;
-use crate::plan::acceptance::{self, Acceptance};
 use crate::sheet::{self, Sheet};
 use crate::store::http::{Http, Settings};
 
--- a/src/bin/monsooncove-sheet/app.rs
+++ b/src/bin/monsooncove-sheet/app.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use clap::ArgMatches;
+use monsooncove::acceptance::Error;
 use monsooncove::plan::Version;
-use monsooncove::plan::acceptance::Error;
 use monsooncove::sheet::example;
 use monsooncove::store;
 use monsooncove::store::http::{self, Http};
--- a/src/bin/monsooncove-sheet/apply.rs
+++ b/src/bin/monsooncove-sheet/apply.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use monsooncove::acceptance::{self, Acceptance, Conflict};
 use monsooncove::plan::Version;
-use monsooncove::plan::acceptance::{self, Acceptance, Conflict};
 use monsooncove::sheet::Change;
 use monsooncove::store::Client;
 use serde::Serialize;
--- a/src/bin/monsooncove-sheet/diff.rs
+++ b/src/bin/monsooncove-sheet/diff.rs
@@ -2,8 +2,8 @@
 
 use std::fmt::Write;
 
+use monsooncove::acceptance;
 use monsooncove::plan::Version;
-use monsooncove::plan::acceptance;
 use monsooncove::sheet::{Change, Delta};
 use monsooncove::store::Client;
 use serde::Serialize;
--- a/src/bin/monsooncove-sheet/known.rs
+++ b/src/bin/monsooncove-sheet/known.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use monsooncove::acceptance;
 use monsooncove::membership::control::ControlClient;
 use monsooncove::membership::roster::{Entry, Standing};
 use monsooncove::membership::text::{Stamp, Update};
 use monsooncove::membership::{self, Instance};
 use monsooncove::plan::Version;
-use monsooncove::plan::acceptance;
 use monsooncove::sheet::{self, Sheet};
 use monsooncove::store::Client;
 use tarpc::context;
--- a/src/bin/monsooncove-sheet/show.rs
+++ b/src/bin/monsooncove-sheet/show.rs
@@ -2,8 +2,8 @@
 
 use std::fmt::Write;
 
+use monsooncove::acceptance::{self, Entry};
 use monsooncove::plan::Version;
-use monsooncove::plan::acceptance::{self, Entry};
 use monsooncove::store::Client;
 
 use crate::check::count;
--- a/src/bin/monsooncove-sheet/wait.rs
+++ b/src/bin/monsooncove-sheet/wait.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use monsooncove::acceptance;
 use monsooncove::membership::Instance;
 use monsooncove::plan::Version;
-use monsooncove::plan::acceptance;
 use monsooncove::store::Client;
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -20,8 +20,6 @@
 pub(crate) mod hop;
 mod observer;
 mod recording;
-mod refusal;
-mod situations;
 mod story;
 #[cfg(test)]
 mod tests;
@@ -35,7 +33,8 @@
 };
 pub use observer::{Decision, Duty, End, Event, Ignore, Observer, Span, Try};
 pub use recording::Recording;
-pub use refusal::Reason;
-pub use situations::{Situations, Snapshot};
 pub use story::{Story, Turn, request_name};
 pub use trace::{Ids, Trace};
+
+pub use crate::membership::{Situations, Snapshot};
+pub use crate::reason::Reason;
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -4,8 +4,8 @@
 use std::mem;
 use std::time::Duration;
 
-use crate::call::Reason;
 use crate::clock::Time;
+use crate::reason::Reason;
 
 use super::allowance::Allowance;
 use super::asking::Asking;
--- a/src/gate/begin.rs
+++ b/src/gate/begin.rs
@@ -3,8 +3,8 @@
 use super::admission::Gate;
 use super::asking::Step;
 use super::{Action, Kind, Ticket};
-use crate::call::Reason;
 use crate::clock::Time;
+use crate::reason::Reason;
 
 /// A call that runs.
 #[derive(Clone, Copy, Debug)]
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -25,8 +25,8 @@
 
 use std::time::Duration;
 
-use crate::call::Reason;
 use crate::clock::Time;
+use crate::reason::Reason;
 
 pub use admission::Gate;
 pub use life::State;
--- a/src/gate/tests/admission.rs
+++ b/src/gate/tests/admission.rs
@@ -1,5 +1,5 @@
-use crate::call::Reason;
 use crate::gate::{Outcome, Sign, State, Ticket};
+use crate::reason::Reason;
 
 use super::harness::Harness;
 
--- a/src/gate/tests/failures.rs
+++ b/src/gate/tests/failures.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use crate::call::Reason;
 use crate::gate::{Load, Outcome, Settings, Sign, State};
+use crate::reason::Reason;
 
 use super::harness::{Harness, settings};
 
--- a/src/gate/tests/harness.rs
+++ b/src/gate/tests/harness.rs
@@ -101,7 +101,7 @@
         self.actions.contains(&Action::Admit(ticket))
     }
 
-    pub(super) fn refused(&self, ticket: Ticket) -> Option<crate::call::Reason> {
+    pub(super) fn refused(&self, ticket: Ticket) -> Option<crate::reason::Reason> {
         self.actions.iter().find_map(|action| match action {
             Action::Refuse(own, reason) if *own == ticket => Some(*reason),
             _ => None,
--- a/src/gate/tests/returning.rs
+++ b/src/gate/tests/returning.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::harness::{Harness, settings};
-use crate::call::Reason;
 use crate::gate::{Action, Arrival, Kind, Settings, Sign, Ticket};
+use crate::reason::Reason;
 
 const KIND: Kind = Kind(3);
 const WORK_MS: u64 = 80;
--- a/src/gate/tests/speed.rs
+++ b/src/gate/tests/speed.rs
@@ -6,8 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::harness::{Harness, settings};
-use crate::call::Reason;
 use crate::gate::{Action, Arrival, Kind, Outcome, Settings, Sign, Ticket};
+use crate::reason::Reason;
 
 const KIND: Kind = Kind(7);
 /// Time that calls of [`KIND`] take on a fast machine.
--- a/src/gate/tests/waiting.rs
+++ b/src/gate/tests/waiting.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::harness::{Harness, settings};
-use crate::call::Reason;
 use crate::gate::{Arrival, Kind, Outcome, Settings, Ticket};
+use crate::reason::Reason;
 
 const KIND: Kind = Kind(7);
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 #[macro_use]
 mod cases;
 
+pub mod acceptance;
 pub mod backend;
 pub mod bench;
 mod bucket;
@@ -23,6 +24,7 @@
 pub mod node;
 pub mod peer;
 pub mod plan;
+pub mod reason;
 pub mod routing;
 pub mod settings;
 pub mod sheet;
--- a/src/membership/direct/board.rs
+++ b/src/membership/direct/board.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::{Bulletin, Handle, Neighbours, Rumour, Shared, Situation};
-use crate::call::Situations;
+use crate::membership::Situations;
 use crate::plan::Version;
 
 /// Versions heard that may wait to be looked at; more come with the next calls.
--- a/src/membership/follower.rs
+++ b/src/membership/follower.rs
@@ -14,7 +14,7 @@
 use super::keys::{INSTANCE_PREFIX, ROOT};
 use super::text::Text;
 use super::{Id, Instance, Settings};
-use crate::plan::head::{self, HEAD_KEY, Head};
+use crate::acceptance::head::{self, HEAD_KEY, Head};
 use crate::store::{self, Change, Client, Record, Revision, Watched};
 
 /// Upper bound of the wait after a failed call of the store.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -22,6 +22,7 @@
 pub mod roster;
 mod server;
 mod settings;
+mod situations;
 #[cfg(test)]
 mod tests;
 pub mod text;
@@ -40,6 +41,7 @@
 pub use links::connect;
 pub use member::{Member, start};
 pub use settings::{Compile, Settings};
+pub use situations::{Situations, Snapshot};
 pub use view::View;
 
 /// Plan in force and instances known, as one consistent snapshot.
--- a/src/call/situations.rs
+++ b/src/membership/situations.rs
@@ -5,8 +5,8 @@
 
 use arc_swap::ArcSwap;
 
-use crate::membership::Situation;
-use crate::membership::direct::Bulletin;
+use super::Situation;
+use super::direct::Bulletin;
 use crate::plan::Version;
 
 /// Source of the newest [`Situation`]; cheap to ask for every call.
--- a/src/membership/tests/live.rs
+++ b/src/membership/tests/live.rs
@@ -7,9 +7,9 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use crate::acceptance::head::{HEAD_KEY, Head};
 use crate::membership::{Condition, Instance, Member, Settings, connect, start};
 use crate::plan::Version;
-use crate::plan::head::{HEAD_KEY, Head};
 use crate::standin;
 use crate::store::http::{self, Http};
 use crate::store::{Client, Expect, Outcome, Write, WriteId};
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -4,8 +4,6 @@
 //! goes back to an older [`Version`]. Lookups by name happen once per call, at
 //! the edge; everything after works with the `Copy` keys of [`key`].
 
-pub mod acceptance;
-pub mod head;
 pub mod key;
 pub mod path;
 mod regions;
--- a/src/plan/tests/mod.rs
+++ b/src/plan/tests/mod.rs
@@ -1,4 +1,1 @@
-mod acceptance;
-mod fake;
 mod lookup;
-mod races;
--- a/src/routing/baseline.rs
+++ b/src/routing/baseline.rs
@@ -9,9 +9,9 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::bucket::Bucket;
-use crate::call::Reason;
 use crate::clock::Time;
 use crate::membership::{Situation, State};
+use crate::reason::Reason;
 
 use crate::plan;
 
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -7,8 +7,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::bucket::Bucket;
-use crate::call::Reason;
 use crate::clock::Time;
+use crate::reason::Reason;
 
 use super::arena::Arena;
 use super::estimate::{Expected, micros};
--- a/src/routing/chooser.rs
+++ b/src/routing/chooser.rs
@@ -1,9 +1,9 @@
 //! What a node asks of whatever chooses among backend servers.
 
-use crate::call::Reason;
 use crate::clock::Time;
 use crate::membership::Situation;
 use crate::plan::key;
+use crate::reason::Reason;
 
 use super::key::Backend;
 use super::{Ask, Choice, Event, Router};
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use crate::call::Reason;
 use crate::clock::Time;
+use crate::reason::Reason;
 
 use super::Settings;
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -24,10 +24,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::call::Reason;
 use crate::clock::Time;
 use crate::gate::Load;
 use crate::plan::{self, Regions};
+use crate::reason::Reason;
 
 pub use chooser::Chooser;
 pub use router::Router;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -7,11 +7,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::bucket::Bucket;
-use crate::call::Reason;
 use crate::clock::Time;
 use crate::gate::Load;
 use crate::membership::Situation;
 use crate::plan::{Regions, Route, key};
+use crate::reason::Reason;
 
 use super::budget::Budget;
 use super::candidates::{Candidate, Draw};
--- a/src/routing/tests/choice.rs
+++ b/src/routing/tests/choice.rs
@@ -1,5 +1,5 @@
-use crate::call::Reason;
 use crate::plan::{Regions, key};
+use crate::reason::Reason;
 use crate::routing::{Ask, Event, Settings};
 
 use super::harness::{Harness, SLOTS, ask, full, idle, view};
--- a/src/routing/tests/failures.rs
+++ b/src/routing/tests/failures.rs
@@ -1,6 +1,6 @@
-use crate::call::Reason;
 use crate::gate::Load;
 use crate::membership::{Epoch, Instance};
+use crate::reason::Reason;
 use crate::routing::{Event, Settings};
 
 use super::harness::{Harness, ask, full, idle, instance, view};
--- a/tests/sheet_tool/fleet.rs
+++ b/tests/sheet_tool/fleet.rs
@@ -120,7 +120,7 @@
 }
 
 fn delete_head(session: &Session) {
-    write(session, monsooncove::plan::head::HEAD_KEY, None);
+    write(session, monsooncove::acceptance::head::HEAD_KEY, None);
 }
 
 /// Announces an instance whose control address accepts and never answers.
