Write a node's last lines before its process ends

Cause: the writer of lines is a thread of its own, and nothing waited for it at the end; so the last lines of a stop could be lost.

Change: a stop waits for the writer, 250 ms at most.

--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -236,12 +236,15 @@
         let _ = leaving.await;
         let admission = Arc::clone(&self.path.admission);
         let finished = timeout_at(deadline, self.path.finish()).await;
-        if finished.is_ok() {
+        let stop = if finished.is_ok() {
             log::info!("stopped: nothing was cut");
-            return Stop::Graceful;
-        }
-        log::warn!("stopped: {} calls were cut", admission.in_hand());
-        Stop::Cut
+            Stop::Graceful
+        } else {
+            log::warn!("stopped: {} calls were cut", admission.in_hand());
+            Stop::Cut
+        };
+        log::logger().flush();
+        stop
     }
 }
 
--- a/src/telemetry/journal.rs
+++ b/src/telemetry/journal.rs
@@ -11,6 +11,7 @@
 use std::fmt;
 use std::io::Write;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use log4rs::append::Append;
 use log4rs::encode::Encode;
@@ -57,6 +58,7 @@
 struct Shared {
     queue: Mutex<Queue>,
     filled: Condvar,
+    written: Condvar,
 }
 
 impl fmt::Debug for Journal {
@@ -65,11 +67,16 @@
     }
 }
 
+/// Longest wait for a reader of lines at the end of the process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(250);
+
 /// Waiting lines of each importance.
 #[derive(Debug, Default)]
 pub struct Queue {
     lines: [VecDeque<String>; 3],
     dropped: [u64; 3],
+    /// Whether lines that were taken out are being written.
+    writing: bool,
 }
 
 impl Queue {
@@ -114,6 +121,7 @@
         let shared = Arc::new(Shared {
             queue: Mutex::new(Queue::default()),
             filled: Condvar::new(),
+            written: Condvar::new(),
         });
         let writer = Arc::clone(&shared);
         std::thread::Builder::new()
@@ -127,6 +135,16 @@
         self.0.lock().push(importance, line);
         self.0.filled.notify_one();
     }
+
+    /// Waits until all lines are written, at most for `limit`.
+    pub fn flush(&self, limit: Duration) {
+        let is_busy = |queue: &mut Queue| queue.writing || !queue.is_empty();
+        // Lines that nobody reads in time are lost with the process.
+        let _ = self
+            .0
+            .written
+            .wait_timeout_while(self.0.lock(), limit, is_busy);
+    }
 }
 
 impl Shared {
@@ -143,9 +161,13 @@
                 queue = waited.unwrap_or_else(PoisonError::into_inner);
             }
             let text = queue.take().concat();
+            queue.writing = true;
             drop(queue);
             let written = output.write_all(text.as_bytes());
-            if written.and_then(|()| output.flush()).is_err() {
+            let ended = written.and_then(|()| output.flush()).is_err();
+            self.lock().writing = false;
+            self.written.notify_all();
+            if ended {
                 return;
             }
         }
@@ -170,5 +192,7 @@
         Ok(())
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        self.journal.flush(FLUSH_LIMIT);
+    }
 }
--- a/src/telemetry/journal/tests.rs
+++ b/src/telemetry/journal/tests.rs
@@ -82,3 +82,28 @@
     most_important_lines_go_first: beliefs_go_first();
     stuck_reader_costs_lines_and_no_time: stuck_reader_holds_nobody_up();
 }
+
+/// Takes its time for each line.
+struct Slow(std::sync::mpsc::Sender<()>);
+
+impl std::io::Write for Slow {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        std::thread::park_timeout(std::time::Duration::from_millis(50));
+        // The test reads as long as it runs.
+        let _ = self.0.send(());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn last_line_is_written_before_the_end() {
+    let (written, lines) = std::sync::mpsc::channel();
+    let journal = super::Journal::start(Slow(written)).expect("a thread");
+    journal.push(super::Importance::Belief, "stopped\n".to_owned());
+    journal.flush(std::time::Duration::from_secs(30));
+    assert!(lines.try_recv().is_ok());
+}
