--- a/src/node/nearby.rs
+++ b/src/node/nearby.rs
@@ -1,8 +1,7 @@
-//! Follows the loads of the gates in the own region.
+//! Subscribes to the load reports of the gates that the router prefers.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::task::JoinHandle;
@@ -10,16 +9,15 @@
 
 use crate::call::SnapshotSource;
 use crate::clock::Clock;
-use crate::membership::{Epoch, Handle, State};
+use crate::membership::Handle;
 use crate::peer::Links;
-use crate::routing::{Location, Router};
+use crate::routing::{Followed, Router};
 
 /// Pause before a stream that ended is opened again.
 const PAUSE: Duration = Duration::from_millis(300);
 
-/// Follows gates nearby.
+/// Load subscriptions of one node.
 pub struct Nearby {
-    pub location: Location,
     pub handle: Handle,
     pub snapshot_source: Arc<dyn SnapshotSource>,
     pub links: Arc<Links>,
@@ -27,64 +25,66 @@
     pub clock: Clock,
 }
 
-/// Which gate is followed, and by what.
-struct Followed {
-    epoch: Epoch,
+/// Subscription to one gate; ends when dropped.
+struct Subscription {
+    followed: Followed,
     task: JoinHandle<()>,
 }
 
-impl Drop for Followed {
+impl Drop for Subscription {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
 impl Nearby {
-    /// Follows until dropped.
+    /// Keeps the subscriptions in step with the snapshot until dropped.
     pub async fn run(mut self) {
-        let mut followed: BTreeMap<String, Followed> = BTreeMap::new();
+        let mut subscriptions: BTreeMap<String, Subscription> = BTreeMap::new();
         loop {
-            let view = Arc::clone(&self.handle.snapshot().view);
-            followed.retain(|name, own| {
-                let known = view.get(name);
-                known.is_some_and(|instance| instance.epoch == own.epoch)
-            });
-            for instance in view.iter() {
-                let near = instance.region == self.location.region;
-                let other = instance.name != self.location.instance;
-                let present = instance.state == State::Present;
-                if near && other && present && !followed.contains_key(&instance.name) {
-                    let task = tokio::spawn(self.one(instance.name.clone(), instance.peer));
-                    let epoch = instance.epoch;
-                    followed.insert(instance.name.clone(), Followed { epoch, task });
+            let wanted = self.wanted();
+            subscriptions.retain(|name, own| wanted.get(name) == Some(&own.followed));
+            for (name, followed) in wanted {
+                if !subscriptions.contains_key(&name) {
+                    let task = tokio::spawn(self.follow(name.clone(), followed));
+                    subscriptions.insert(name, Subscription { followed, task });
                 }
             }
             self.handle.changed().await;
         }
     }
 
-    /// Follows one gate as long as it is announced.
-    fn one(&self, name: String, address: SocketAddr) -> impl Future<Output = ()> + use<> {
+    /// Asks the router, which may not have seen the newest snapshot yet.
+    fn wanted(&self) -> BTreeMap<String, Followed> {
+        let snapshot = self.handle.snapshot();
+        let mut router = lock(&self.router);
+        router.update(self.clock.now(), &snapshot);
+        router.followed()
+    }
+
+    /// Follows one gate until aborted.
+    fn follow(&self, name: String, followed: Followed) -> impl Future<Output = ()> + use<> {
         let snapshot_source = Arc::clone(&self.snapshot_source);
         let links = Arc::clone(&self.links);
         let router = Arc::clone(&self.router);
         let clock = self.clock;
+        let address = followed.peer;
         async move {
             loop {
-                let told = links.subscribe_load(address, |told| {
-                    snapshot_source.on_peer_plan_version(address, told.plan);
-                    let mut router = router.lock().unwrap_or_else(PoisonError::into_inner);
-                    router.on_load_report(clock.now(), &name, &told.load);
+                let ended = links.subscribe_load(address, |update| {
+                    snapshot_source.on_peer_plan_version(address, update.plan);
+                    lock(&router).on_load_report(clock.now(), &name, &update.load);
                 });
-                if let Err(down) = told.await {
-                    log::debug!("the load of {name} is not told: {down}");
+                if let Err(down) = ended.await {
+                    log::debug!("no load reports of {name}: {down}");
                 }
-                router
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .on_link_lost(clock.now(), &name);
+                lock(&router).on_link_lost(clock.now(), &name);
                 sleep(PAUSE).await;
             }
         }
     }
 }
+
+fn lock(router: &Mutex<Router>) -> MutexGuard<'_, Router> {
+    router.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/node/path.rs
+++ b/src/node/path.rs
@@ -108,7 +108,6 @@
         let router = Router::new(tuning.routing, location.clone(), blueprint.seed);
         let router = Arc::new(Mutex::new(router));
         let nearby = Nearby {
-            location: location.clone(),
             handle: handle.clone(),
             snapshot_source: Arc::clone(&blueprint.snapshot_source),
             links: Arc::clone(&blueprint.links),
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -3,6 +3,10 @@
 //! Candidates are sampled at random from the node's own backend server, its availability zone,
 //! its region and other regions, in this order. The cost of a candidate is its round trip,
 //! queueing and service time plus penalties for failures, distance and lateness.
+//!
+//! Sampling is limited to a subset of each group: the usable members with the highest rendezvous
+//! scores for this node (deterministic subsetting). Links and load subscriptions of a node
+//! therefore do not grow with the fleet, and the load reports behind a choice stay fresh.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -22,8 +26,6 @@
 use super::router::request_bytes;
 use super::{SelectionRequest, Settings};
 
-/// Members examined for each candidate wanted.
-const MEMBERS_PER_CANDIDATE: usize = 4;
 /// A call whose expected time is at most this share of the time left counts as certain to meet
 /// its objective.
 const ON_TIME_SHARE: f64 = 0.7;
@@ -142,15 +144,14 @@
     }
 
     fn add_members(&mut self, index: usize, wanted: usize) -> usize {
-        let pool = self.pool;
-        let members = &pool.groups[index].members;
-        let start = self.random_below(members.len());
+        let subset = self.subset(index);
+        let start = self.random_below(subset.len());
         let mut found = 0;
-        for step in 0..members.len().min(wanted * MEMBERS_PER_CANDIDATE) {
+        for step in 0..subset.len() {
             if found == wanted {
                 break;
             }
-            let backend = members[(start + step) % members.len()];
+            let backend = subset[(start + step) % subset.len()];
             if self.add_if(index, backend, Self::is_usable) {
                 found += 1;
             }
@@ -158,6 +159,21 @@
         found
     }
 
+    /// Returns the usable members of the group with the highest scores, without the candidates
+    /// that are known already.
+    fn subset(&self, index: usize) -> Vec<Backend> {
+        let group = &self.pool.groups[index];
+        let is_candidate = |backend: Backend| {
+            let mut candidates = self.candidates.iter();
+            candidates.any(|candidate| candidate.backend == backend)
+        };
+        let usable = group.members.iter().copied().filter(|&backend| {
+            let member = self.arena.get(backend);
+            member.is_some_and(|member| self.is_usable(backend, member)) && !is_candidate(backend)
+        });
+        usable.take(group.subset_size(self.settings)).collect()
+    }
+
     /// Adds ejected backend servers, used only if there is no other candidate. Those that were
     /// already tried come last.
     fn add_ejected(&mut self) {
--- a/src/routing/member.rs
+++ b/src/routing/member.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::membership::{Epoch, Instance, State};
+use crate::membership::{Epoch, Instance, InstanceId, State};
 use crate::plan::{Plan, Regions, key};
 
 use super::Location;
@@ -30,6 +30,8 @@
     pub(super) region_name: String,
     pub(super) zone_name: String,
     pub(super) distance: Distance,
+    /// Rendezvous score of the member for this node; the highest come first in a group.
+    pub(super) score: u64,
     pub(super) placement: Option<Placement>,
     pub(super) estimate: LoadEstimate,
     pub(super) health: Health,
@@ -55,6 +57,7 @@
             region_name: instance.region.clone(),
             zone_name: instance.zone.clone(),
             distance: distance(instance, location),
+            score: InstanceId::of(&instance.name).score(InstanceId::of(&location.instance)),
             placement: None,
             estimate,
             health: Health::default(),
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -29,6 +29,7 @@
 
 use crate::clock::Time;
 use crate::gate::LoadReport;
+use crate::membership::Epoch;
 use crate::plan::{self, Regions};
 use crate::reason::Reason;
 
@@ -132,6 +133,15 @@
     pub load_age: Option<Duration>,
 }
 
+/// Gate whose load reports a node follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Followed {
+    /// Announcement that the address comes from.
+    pub epoch: Epoch,
+    /// Address for calls from other nodes.
+    pub peer: SocketAddr,
+}
+
 /// Outcome of a call, or a load report.
 ///
 /// The outcome of a call must be observed before the load report that came with the response.
--- a/src/routing/pool.rs
+++ b/src/routing/pool.rs
@@ -15,7 +15,9 @@
     pub(super) region_name: String,
     pub(super) placement: Placement,
     pub(super) distance: Distance,
+    /// In the order of their rendezvous scores, highest first.
     pub(super) members: Vec<Backend>,
+    scores: Vec<u64>,
 }
 
 impl Group {
@@ -25,6 +27,28 @@
             && self.placement == placement
             && self.distance == distance
     }
+
+    /// Returns the number of members from which candidates are sampled.
+    pub(super) const fn subset_size(&self, settings: &Settings) -> usize {
+        match self.distance {
+            Distance::Own | Distance::Zone => settings.zone_subset,
+            Distance::Region => settings.region_subset,
+            Distance::Remote => settings.remote_subset,
+        }
+    }
+
+    fn insert(&mut self, backend: Backend, score: u64) {
+        let position = self.scores.partition_point(|&known| known > score);
+        self.scores.insert(position, score);
+        self.members.insert(position, backend);
+    }
+
+    fn remove(&mut self, backend: Backend) {
+        if let Some(position) = self.members.iter().position(|&member| member == backend) {
+            self.scores.remove(position);
+            self.members.remove(position);
+        }
+    }
 }
 
 /// Backend servers of one service.
@@ -58,7 +82,7 @@
             .iter_mut()
             .find(|group| group.matches(member, placement, distance));
         if let Some(group) = existing {
-            group.members.push(backend);
+            group.insert(backend, member.score);
             return;
         }
         self.groups.push(Group {
@@ -67,6 +91,7 @@
             placement,
             distance,
             members: vec![backend],
+            scores: vec![member.score],
         });
     }
 
@@ -75,7 +100,7 @@
             self.own_backend = None;
         }
         for group in &mut self.groups {
-            group.members.retain(|&member| member != backend);
+            group.remove(backend);
         }
         self.groups.retain(|group| !group.members.is_empty());
     }
@@ -138,6 +163,10 @@
         self.pools.get_mut(index)
     }
 
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Pool> {
+        self.pools.iter()
+    }
+
     pub(super) fn len(&self) -> usize {
         self.pools.len()
     }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -22,9 +22,9 @@
 use super::candidates::{Candidate, Selection};
 use super::directory::Directory;
 use super::key::Backend;
-use super::member::Distance;
+use super::member::{Distance, Member};
 use super::pool::{Group, Pool};
-use super::{Choice, Event, Location, SelectionRequest, Settings};
+use super::{Choice, Event, Followed, Location, SelectionRequest, Settings};
 
 /// Backend servers of a service are probed only for this long after its last call.
 const PROBE_WINDOW_AFTER_CALL: Duration = Duration::from_secs(10);
@@ -135,6 +135,26 @@
         }
     }
 
+    /// Returns the instances whose load reports this node follows without calls: the subsets of
+    /// its own region from which candidates are sampled.
+    #[must_use]
+    pub fn followed(&self) -> BTreeMap<String, Followed> {
+        let arena = &self.directory.arena;
+        let groups = self.directory.pools.iter().flat_map(|pool| &pool.groups);
+        let nearby = groups.filter(|group| group.distance != Distance::Remote);
+        let subsets = nearby.flat_map(|group| {
+            let members = group.members.iter().filter_map(|&key| arena.get(key));
+            let present = members.filter(|member| !member.leaving);
+            let others = present.filter(|member| member.distance != Distance::Own);
+            others.take(group.subset_size(&self.settings))
+        });
+        let followed = subsets.map(|member| {
+            let Member { epoch, peer, .. } = *member;
+            (member.instance.clone(), Followed { epoch, peer })
+        });
+        followed.collect()
+    }
+
     /// Starts a backoff for the backend server whose link was lost.
     pub fn on_link_lost(&mut self, now: Time, instance: &str) {
         if let Some(backend) = self.directory.find_by_instance(instance)
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -13,6 +13,13 @@
     pub region_candidates: usize,
     /// Candidates sampled from other regions.
     pub remote_candidates: usize,
+    /// Backend servers of one service and availability zone from which candidates are sampled,
+    /// in the node's own availability zone.
+    pub zone_subset: usize,
+    /// The same for each other availability zone of the node's region.
+    pub region_subset: usize,
+    /// The same for each availability zone of other regions.
+    pub remote_subset: usize,
     /// One-way latency within an availability zone.
     pub zone_latency: Duration,
     /// One-way latency between availability zones of a region.
@@ -87,6 +94,9 @@
             zone_candidates: 2,
             region_candidates: 1,
             remote_candidates: 1,
+            zone_subset: 6,
+            region_subset: 2,
+            remote_subset: 1,
             zone_latency: Duration::from_micros(200),
             region_latency: Duration::from_millis(1),
             remote_latency: Duration::from_millis(20),
--- a/src/routing/tests/mod.rs
+++ b/src/routing/tests/mod.rs
@@ -3,3 +3,4 @@
 mod harness;
 mod objective;
 mod room;
+mod subset;
