--- a/src/clock.rs
+++ b/src/clock.rs
@@ -4,7 +4,9 @@
 //! [`Time`], so that tests can use virtual time.
 
 use std::ops::{Add, Sub};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 /// Microseconds since an arbitrary origin that is fixed within one process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/membership/direct/follower.rs
+++ b/src/membership/direct/follower.rs
@@ -1,6 +1,9 @@
-//! Follows one key prefix of the store: lists it once, then watches it.
+//! Follows one key prefix of the store while this node is to watch it.
 //!
-//! After a failure it retries with exponential backoff and jitter.
+//! Lists it once, then watches it, from where the news of relays have brought this node.
+//!
+//! After a failure it retries with exponential backoff and jitter. Announcements are listed once
+//! by every node, because its own may be among them.
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -16,6 +19,11 @@
 /// Wait of a watch that only checks whether the store is available.
 const PROBE_WAIT: Duration = Duration::from_millis(1);
 
+/// Time that a node without known relays waits for announcements before it lists plans.
+const PLAN_DELAY: Duration = Duration::from_millis(500);
+/// How much longer a node that is no relay pauses at most between failed calls.
+const DETACHED_BACKOFF_FACTOR: u32 = 4;
+
 /// Kind of records that are followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Subject {
@@ -32,6 +40,17 @@
     }
 }
 
+/// How far a prefix has been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Position {
+    /// Nothing has been read since the start.
+    Start,
+    /// Everything up to this revision.
+    After(Revision),
+    /// The store no longer holds the history; the prefix has to be listed.
+    Lost,
+}
+
 /// Follows one prefix.
 pub(super) struct Follower<C> {
     pub(super) prefix: String,
@@ -43,14 +62,28 @@
 }
 
 impl<C: Client> Follower<C> {
-    /// Lists once, then watches; lists again only when history was lost.
+    /// Follows the prefix whenever this node is to watch the store.
     pub(super) async fn run(mut self) {
         let seed = self.settings.seed ^ InstanceId::of(&self.settings.name).0 ^ self.subject as u64;
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut position = None;
+        let mut watches_store = self.shared.watches(self.subject);
+        let mut position = Position::Start;
         let mut pause = self.settings.backoff_min;
         let mut is_unavailable = false;
+        let mut may_list_plans = self.subject == Subject::Nodes;
         loop {
+            if position != Position::Start || self.subject == Subject::Plans {
+                // The sender lives as long as the shared state.
+                let _ = watches_store.wait_for(|watches| *watches).await;
+            }
+            if !may_list_plans && position == Position::Start {
+                may_list_plans = true;
+                if !self.shared.knows_others() {
+                    // Announcements that are read meanwhile may show that others are the relays.
+                    sleep(PLAN_DELAY).await;
+                    continue;
+                }
+            }
             let started_at = self.shared.clock.now();
             // A watch with the minimum wait detects immediately that the store is back.
             let wait = if is_unavailable {
@@ -58,14 +91,15 @@
             } else {
                 self.settings.watch_wait
             };
-            let result = self.list_or_watch(position, wait).await;
-            if self.subject == Subject::Plans {
+            let after = self.continue_from(position);
+            let result = self.list_or_watch(after, wait).await;
+            if self.subject == Subject::Plans || result.is_ok() {
                 self.shared.set_store_available(result.is_ok());
             }
             match result {
                 Ok(next) => {
                     if is_unavailable {
-                        log::info!("the store tells {} again", self.subject.as_str());
+                        log::info!("{} can be read from the store again", self.subject.as_str());
                     }
                     is_unavailable = false;
                     pause = self.settings.backoff_min;
@@ -75,7 +109,8 @@
                 }
                 Err(error) => {
                     if !is_unavailable {
-                        log::warn!("the store tells no {}: {error}", self.subject.as_str());
+                        let subject = self.subject.as_str();
+                        log::warn!("{subject} cannot be read from the store: {error}");
                     }
                     is_unavailable = true;
                     if self.subject == Subject::Nodes {
@@ -84,30 +119,50 @@
                         pause = self.settings.backoff_min;
                     }
                     sleep(pause.mul_f64(rng.random_range(0.5..=1.0))).await;
-                    pause = (pause * 2).min(self.settings.backoff_max);
+                    pause = (pause * 2).min(self.backoff_max());
                 }
             }
         }
     }
 
-    /// Returns the revision to continue from; `None` if the store no longer has the history.
+    /// Relays find out that the store is back; the other nodes hear it from them.
+    fn backoff_max(&self) -> Duration {
+        if self.shared.is_relay() {
+            self.settings.backoff_max
+        } else {
+            self.settings.backoff_max * DETACHED_BACKOFF_FACTOR
+        }
+    }
+
+    /// Revision from which to watch; `None` to list. Relays may have told more meanwhile.
+    fn continue_from(&self, position: Position) -> Option<Revision> {
+        let known = self.shared.position(self.subject);
+        match position {
+            Position::Start if self.subject == Subject::Nodes => None,
+            Position::Start => known,
+            Position::After(revision) => Some(known.map_or(revision, |known| known.max(revision))),
+            Position::Lost => None,
+        }
+    }
+
+    /// Lists, or watches after a revision; returns the position to continue from.
     async fn list_or_watch(
         &self,
-        position: Option<Revision>,
+        after: Option<Revision>,
         wait: Duration,
-    ) -> store::Result<Option<Revision>> {
-        let Some(after) = position else {
+    ) -> store::Result<Position> {
+        let Some(after) = after else {
             let listing = self.client.list(&self.prefix).await?;
             let revision = listing.revision;
             match self.subject {
                 Subject::Plans => self.shared.on_plans_listed(listing),
                 Subject::Nodes => self.shared.on_nodes_listed(&listing),
             }
-            return Ok(Some(revision));
+            return Ok(Position::After(revision));
         };
         let watched = self.client.watch(&self.prefix, after, wait).await?;
         let Watched::Changes { revision, changes } = watched else {
-            return Ok(None);
+            return Ok(Position::Lost);
         };
         if revision < after {
             return Err(store::Error::Refused {
@@ -120,6 +175,6 @@
                 Subject::Nodes => self.shared.on_nodes_changed(changes),
             }
         }
-        Ok(Some(revision))
+        Ok(Position::After(revision))
     }
 }
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -1,23 +1,26 @@
-//! Membership in which every node watches the store itself, without relays.
+//! Membership in which a few nodes of each region watch the store.
 //!
-//! Suited to a platform with cheap watches. Each node watches the operators' records and the
-//! other nodes' announcements, and keeps its own announcement in the store under a lease that it
-//! renews. Nodes that notice different plan versions exchange plan records by gossip.
+//! These relays watch the operators' records and the nodes' announcements. The other nodes
+//! subscribe to relays and fetch from them what has changed; without a relay they watch the store
+//! themselves. Each node keeps its own announcement in the store under a lease that it renews.
+//! Nodes that notice different plan versions exchange plan records by gossip.
 //!
 //! A deletion in the store does not prove that a node is gone, because leases lapse while the
 //! store is down. Such a node stays in the view for [`Settings::lapsed_retention`]; until then
 //! its gate decides whether it serves calls.
 //!
-//! [`PlanReplica`] and [`Roster`] hold the state and perform no I/O; the follower and the announcer
-//! call the store.
+//! [`PlanReplica`], [`Roster`] and [`Relays`] hold the state and perform no I/O; the follower and
+//! the announcer call the store.
 
 mod announcement;
 mod announcer;
 mod follower;
 mod gossip;
+mod packed;
 mod peer_versions;
 mod plan_records;
 mod plan_replica;
+mod relays;
 mod roster;
 mod shared;
 #[cfg(test)]
@@ -41,10 +44,12 @@
 
 pub use announcement::{Announcement, DepartedProcess};
 pub use gossip::DirectSnapshotSource;
+pub use packed::{PackedRecords, pack, unpack};
 pub use peer_versions::PeerVersions;
-pub use plan_records::{GossipTransport, PlanRecords};
+pub use plan_records::{GossipTransport, OnProgress, PlanRecords, Progress};
 pub use plan_replica::PlanReplica;
-pub use roster::Roster;
+pub use relays::Relays;
+pub use roster::{Roster, RosterChanges};
 
 use announcer::Announcer;
 use shared::Shared;
@@ -90,13 +95,18 @@
 pub struct Settings {
     /// Name of the instance.
     pub name: String,
+    /// Region it runs in.
+    pub region: String,
+    /// Availability zone it runs in; without one the node always watches the store.
+    pub zone: String,
     /// Key prefix of announcements.
     pub prefix: String,
     /// Time to live of the lease of the announcement.
     pub lease_ttl: Duration,
     /// Time between two lease renewals.
     pub renewal_interval: Duration,
-    /// Maximum duration of one watch; shorter than the time for which the store keeps history.
+    /// Maximum duration of one watch. One without changes continues from the store's revision of
+    /// that moment, so it may last longer than the store keeps history.
     pub watch_wait: Duration,
     /// Pause between two watches of announcements, so that many changes at once
     /// take few calls. It doubles while changes keep coming.
@@ -117,10 +127,12 @@
     fn default() -> Self {
         Self {
             name: String::new(),
+            region: String::new(),
+            zone: String::new(),
             prefix: "monsooncove/node/".to_owned(),
-            lease_ttl: Duration::from_secs(30),
-            renewal_interval: Duration::from_secs(10),
-            watch_wait: Duration::from_secs(15),
+            lease_ttl: Duration::from_secs(90),
+            renewal_interval: Duration::from_secs(30),
+            watch_wait: Duration::from_secs(25),
             watch_pause_min: Duration::from_millis(250),
             watch_pause_max: Duration::from_secs(4),
             backoff_min: Duration::from_millis(200),
@@ -138,8 +150,8 @@
     desired: Arc<watch::Sender<Option<Announcement>>>,
     shared: Arc<Shared>,
     leave_sender: mpsc::Sender<oneshot::Sender<()>>,
-    peer_version_sender: mpsc::Sender<gossip::PeerPlanVersion>,
-    peer_version_receiver: Mutex<Option<mpsc::Receiver<gossip::PeerPlanVersion>>>,
+    news_sender: mpsc::Sender<gossip::News>,
+    news_receiver: Mutex<Option<mpsc::Receiver<gossip::News>>>,
     shutdown: CancellationToken,
 }
 
@@ -150,24 +162,32 @@
         DirectSnapshotSource {
             handle: self.handle.clone(),
             shared: Arc::clone(&self.shared),
-            peer_version_sender: self.peer_version_sender.clone(),
+            news_sender: self.news_sender.clone(),
         }
     }
 
-    /// Starts to exchange plan records with peers. Further calls have no effect.
-    pub fn start_gossip(&self, transport: Arc<dyn GossipTransport>) {
-        let peer_version_receiver = self
-            .peer_version_receiver
+    /// Starts to subscribe to relays and to exchange news with peers. Further calls have no
+    /// effect.
+    pub fn start_gossip(&self, transport: &Arc<dyn GossipTransport>) {
+        let news_receiver = self
+            .news_receiver
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .take();
-        if let Some(peer_version_receiver) = peer_version_receiver {
-            let shared = Arc::clone(&self.shared);
-            let handle = self.handle.clone();
-            spawn_until(
-                &self.shutdown,
-                gossip::run(shared, handle, transport, peer_version_receiver),
+        if let Some(news_receiver) = news_receiver {
+            let exchanges = gossip::run(
+                Arc::clone(&self.shared),
+                self.handle.clone(),
+                Arc::clone(transport),
+                news_receiver,
             );
+            let subscriber = gossip::Subscriber {
+                shared: Arc::clone(&self.shared),
+                transport: Arc::clone(transport),
+                news_sender: self.news_sender.clone(),
+            };
+            spawn_until(&self.shutdown, exchanges);
+            spawn_until(&self.shutdown, subscriber.run());
         }
     }
 
@@ -218,8 +238,7 @@
     let publisher = Publisher::new();
     let handle = publisher.handle(suspicion_sender);
     let desired = Arc::new(watch::Sender::new(None));
-    let (peer_version_sender, peer_version_receiver) =
-        mpsc::channel(gossip::PEER_VERSION_QUEUE_LEN);
+    let (news_sender, news_receiver) = mpsc::channel(gossip::NEWS_QUEUE_LEN);
     let shared = Shared::new(&settings, source, publisher, clock);
     let plans = follower::Follower {
         prefix: source.prefix().to_owned(),
@@ -247,8 +266,8 @@
         desired,
         shared,
         leave_sender,
-        peer_version_sender,
-        peer_version_receiver: Mutex::new(Some(peer_version_receiver)),
+        news_sender,
+        news_receiver: Mutex::new(Some(news_receiver)),
         shutdown: shutdown.clone(),
     }
 }
--- a/src/membership/direct/plan_records.rs
+++ b/src/membership/direct/plan_records.rs
@@ -1,24 +1,40 @@
-//! Copies of the operators' records that nodes exchange by gossip.
+//! News that nodes exchange: the operators' records and the changes of the roster.
 
 use std::net::SocketAddr;
 
 use futures::future::BoxFuture;
-use serde::{Deserialize, Serialize};
 
+use super::{PackedRecords, RosterChanges};
 use crate::plan::Version;
-use crate::store::Record;
 
-/// Versioned copy of the operators' records.
+/// What one node tells another of the operators' records and of the roster.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
 pub struct PlanRecords {
     /// Plan version of the records: revision of their newest change.
     pub version: Version,
     /// The records; `None` if the receiver already has this version or a newer one.
-    pub records: Option<Vec<Record>>,
+    pub records: Option<PackedRecords>,
+    /// Store revision up to which the sender knows the roster; zero if it asks for none.
+    pub roster_revision: u64,
+    /// Changes of the roster that the receiver does not have.
+    pub roster: Option<RosterChanges>,
 }
 
-/// Passes bulletins between nodes.
+/// What a node pushes to its subscribers: how new its knowledge is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Version of its plan records.
+    pub plan: Version,
+    /// Store revision up to which it knows the roster.
+    pub roster_revision: u64,
+    /// Its distance to the store, see [`Relays`](super::Relays).
+    pub distance: u32,
+}
+
+/// Receives the progress of a relay.
+pub type OnProgress = Box<dyn FnMut(Progress) + Send>;
+
+/// Passes news between nodes.
 pub trait GossipTransport: Send + Sync + 'static {
     /// Gives `records` to the node at `address` and returns what that node
     /// knows; nothing when it does not say in time.
@@ -27,4 +43,8 @@
         address: SocketAddr,
         records: PlanRecords,
     ) -> BoxFuture<'_, Option<PlanRecords>>;
+
+    /// Passes the progress of the node at `address` to `on_progress` until the subscription
+    /// breaks.
+    fn subscribe(&self, address: SocketAddr, on_progress: OnProgress) -> BoxFuture<'_, ()>;
 }
--- a/src/membership/direct/shared.rs
+++ b/src/membership/direct/shared.rs
@@ -4,18 +4,24 @@
 //! new snapshot.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::{Notify, watch};
 
-use super::{Announcement, PeerVersions, PlanRecords, PlanReplica, PlanSource, Roster, Settings};
+use super::{
+    Announcement, PackedRecords, PeerVersions, PlanRecords, PlanReplica, PlanSource, Progress,
+    Relays, Roster, Settings,
+};
 use crate::clock::{Clock, Time};
 use crate::membership::handle::Publisher;
 use crate::membership::{ClusterSnapshot, Epoch, Instance, State, View};
-use crate::plan::Plan;
+use crate::plan::{Plan, Version};
 use crate::store::{Change, Lease, Listing, Record, Revision};
 
+use super::follower::Subject;
+
 /// Time between two removals of expired announcements.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -25,6 +31,12 @@
     state: Mutex<Inner>,
     /// Time since which plans could not be read from the store; `None` while they can.
     store_unavailable_since: watch::Sender<Option<Time>>,
+    /// Whether this node is to watch plans.
+    watches_plans: watch::Sender<bool>,
+    /// Whether this node is to watch announcements.
+    watches_nodes: watch::Sender<bool>,
+    /// What subscribers are told.
+    progress: watch::Sender<Progress>,
     pub(super) name: String,
     prefix: String,
     pub(super) previous_announcement: watch::Sender<PreviousAnnouncement>,
@@ -53,10 +65,24 @@
     pub(super) lease: Option<Lease>,
 }
 
+/// What a relay knows, compared with this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Comparison {
+    /// Nothing more.
+    Even,
+    /// More than this node, which does not watch the store.
+    Ahead,
+    /// A newer plan than the store has told this node so far.
+    AheadOfStore,
+}
+
 #[derive(Debug)]
 struct Inner {
     plan_replica: PlanReplica,
+    /// Records of this version, as peers get them.
+    packed_records: Option<(Version, PackedRecords)>,
     roster: Roster,
+    relays: Relays,
     own: Option<Instance>,
     plan: Arc<Plan>,
 }
@@ -69,11 +95,18 @@
         publisher: Publisher,
         clock: Clock,
     ) -> Arc<Self> {
+        let now = clock.now();
+        let relays = Relays::new(&settings.name, &settings.region, &settings.zone, now);
         Arc::new(Self {
-            store_unavailable_since: watch::Sender::new(Some(clock.now())),
+            store_unavailable_since: watch::Sender::new(Some(now)),
+            watches_plans: watch::Sender::new(relays.watches_plans(now)),
+            watches_nodes: watch::Sender::new(relays.watches_nodes(now)),
+            progress: watch::Sender::default(),
             state: Mutex::new(Inner {
                 plan_replica: PlanReplica::new(Arc::clone(source)),
+                packed_records: None,
                 roster: Roster::new(settings.lapsed_retention),
+                relays,
                 own: None,
                 plan: Arc::default(),
             }),
@@ -102,7 +135,99 @@
             epoch: Epoch(epoch.0 + 1),
             ..instance.clone()
         });
-        self.publish(&state);
+        self.publish(&mut state);
+    }
+
+    /// Brings what follows from the time and from the roster up to date: whether this node watches
+    /// the store, and what its subscribers are told.
+    pub(super) fn refresh(&self) {
+        let mut state = self.lock();
+        self.refresh_relays(&mut state);
+    }
+
+    fn refresh_relays(&self, state: &mut Inner) {
+        let now = self.clock.now();
+        state.relays.update(now, state.roster.announced());
+        let watches = state.relays.watches_plans(now);
+        set_if_changed(&self.watches_nodes, state.relays.watches_nodes(now));
+        if set_if_changed(&self.watches_plans, watches) {
+            log_role(watches, state.relays.is_relay());
+        }
+        let reads_store = watches && self.store_unavailable_since.borrow().is_none();
+        let progress = Progress {
+            plan: state.plan_replica.version(),
+            roster_revision: state.roster.revision(),
+            distance: state.relays.distance(now, reads_store),
+        };
+        set_if_changed(&self.progress, progress);
+    }
+
+    /// Whether this node is to watch the records of `subject`.
+    pub(super) fn watches(&self, subject: Subject) -> watch::Receiver<bool> {
+        match subject {
+            Subject::Plans => self.watches_plans.subscribe(),
+            Subject::Nodes => self.watches_nodes.subscribe(),
+        }
+    }
+
+    /// Whether other nodes of the region are known.
+    pub(super) fn knows_others(&self) -> bool {
+        self.lock().relays.knows_others()
+    }
+
+    /// Whether this node is one of the relays of its region.
+    pub(super) fn is_relay(&self) -> bool {
+        self.lock().relays.is_relay()
+    }
+
+    /// What subscribers are told.
+    pub(super) fn progress(&self) -> watch::Receiver<Progress> {
+        self.progress.subscribe()
+    }
+
+    /// Relays to subscribe to, by name.
+    pub(super) fn sources(&self) -> BTreeMap<String, SocketAddr> {
+        self.lock().relays.sources().clone()
+    }
+
+    /// Takes in the progress of a relay, and returns whether the relay knows more than this node.
+    /// A node that watches the store itself usually hears the same from there.
+    pub(super) fn on_progress(&self, relay: &str, progress: Progress) -> Comparison {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.relays.on_heard(now, relay, progress.distance);
+        self.refresh_relays(&mut state);
+        let has_newer_plan = progress.plan > state.plan_replica.version();
+        let has_newer_roster = progress.roster_revision > state.roster.revision();
+        if *self.watches_plans.borrow() {
+            if has_newer_plan {
+                Comparison::AheadOfStore
+            } else {
+                Comparison::Even
+            }
+        } else if has_newer_plan || has_newer_roster {
+            Comparison::Ahead
+        } else {
+            Comparison::Even
+        }
+    }
+
+    /// Handles the end of the subscription to a relay, or an exchange that failed.
+    pub(super) fn on_relay_lost(&self, relay: &str) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.relays.on_lost(now, relay);
+        self.refresh_relays(&mut state);
+    }
+
+    /// Store revision from which a watch continues; `None` if nothing is known.
+    pub(super) fn position(&self, subject: Subject) -> Option<Revision> {
+        let state = self.lock();
+        let revision = match subject {
+            Subject::Plans => state.plan_replica.version().0,
+            Subject::Nodes => state.roster.revision(),
+        };
+        (revision > 0).then_some(Revision(revision))
     }
 
     pub(super) fn on_plans_listed(&self, listing: Listing) {
@@ -126,11 +251,14 @@
             }
             changes
         });
+        self.refresh();
     }
 
+    /// Whether this node watches the store and could not read it for `limit`.
     pub(super) fn is_store_unavailable_for(&self, limit: Duration) -> bool {
         let since = *self.store_unavailable_since.borrow();
-        since.is_some_and(|since| self.clock.now().since(since) >= limit)
+        let is_unavailable = since.is_some_and(|since| self.clock.now().since(since) >= limit);
+        is_unavailable && *self.watches_plans.borrow()
     }
 
     /// Waits until plans can be read from the store.
@@ -145,21 +273,76 @@
         peer_versions.has_differences() || self.is_store_unavailable_for(limit)
     }
 
-    /// Merges the plan records of a peer and returns the own ones.
+    /// Merges the news of a peer and returns what this node knows beyond them.
     pub(super) fn exchange_plan_records(&self, theirs: PlanRecords) -> PlanRecords {
         let mut state = self.lock();
-        let version = state.plan_replica.version();
-        if let Some(records) = theirs.records
-            && theirs.version > version
+        let PlanRecords {
+            version,
+            records,
+            roster_revision,
+            roster,
+        } = theirs;
+        if let Some(records) = records
+            && version > state.plan_replica.version()
         {
-            log::info!("plan {} was told by another node", theirs.version);
-            state.plan_replica.merge_from_peer(theirs.version, records);
-            self.compile(&mut state);
+            self.merge_records(&mut state, version, records);
         }
-        let newer = state.plan_replica.version() > theirs.version;
+        if let Some(changes) = roster
+            && state.roster.merge_from_peer(self.clock.now(), changes)
+        {
+            self.check_own_announcement(&state);
+            self.publish(&mut state);
+        }
+        let is_newer = state.plan_replica.version() > version;
+        let roster = match roster_revision {
+            0 => None,
+            known => state.roster.changes_since(known),
+        };
         PlanRecords {
             version: state.plan_replica.version(),
-            records: newer.then(|| state.plan_replica.records()),
+            records: if is_newer { packed(&mut state) } else { None },
+            roster_revision: state.roster.revision(),
+            roster,
+        }
+    }
+
+    /// What this node asks a peer with; its records go along if the peer's plan is older.
+    pub(super) fn plan_records_for(&self, peer_version: Version) -> PlanRecords {
+        let mut state = self.lock();
+        let version = state.plan_replica.version();
+        PlanRecords {
+            version,
+            records: if version > peer_version {
+                packed(&mut state)
+            } else {
+                None
+            },
+            roster_revision: state.roster.revision(),
+            roster: None,
+        }
+    }
+
+    fn merge_records(&self, state: &mut Inner, version: Version, packed: PackedRecords) {
+        let Some(records) = packed.unpack() else {
+            log::warn!(
+                "plan {version} of another node cannot be read and is refused; the plan in force \
+                 stays until a node or the store sends it whole"
+            );
+            return;
+        };
+        log::info!("plan {version} was received from another node");
+        state.plan_replica.merge_from_peer(version, records);
+        state.packed_records = Some((version, packed));
+        self.compile(state);
+    }
+
+    /// A complete roster without this node means that its announcement was lost.
+    fn check_own_announcement(&self, state: &Inner) {
+        let is_known = self.previous_announcement.borrow().clone() != PreviousAnnouncement::Unknown;
+        let is_announced = state.roster.announced().any(|node| node.name == self.name);
+        let was_announced = state.roster.instances().any(|node| node.name == self.name);
+        if is_known && was_announced && !is_announced {
+            self.announcement_lost.notify_one();
         }
     }
 
@@ -169,8 +352,11 @@
                 state.plan = Arc::new(plan);
                 self.publish(state);
             }
-            Ok(None) => {}
-            Err(unreadable) => log::warn!("{unreadable}"),
+            Ok(None) => self.refresh_relays(state),
+            Err(unreadable) => {
+                log::warn!("{unreadable}");
+                self.refresh_relays(state);
+            }
         }
     }
 
@@ -191,14 +377,18 @@
             }
             announcements.insert(announcement.instance.name.clone(), announcement);
         }
+        let is_restart = previous_announcement.is_some();
         let is_first = self.set_previous_once(previous_announcement);
         let mut state = self.lock();
+        if is_first && is_restart {
+            state.relays.skip_settling();
+        }
         if !is_first && !announcements.contains_key(&self.name) {
             self.announcement_lost.notify_one();
         }
         let instances = announcements.into_values().map(|current| current.instance);
-        state.roster.on_listed(now, instances);
-        self.publish(&state);
+        state.roster.on_listed(now, listing.revision.0, instances);
+        self.publish(&mut state);
     }
 
     pub(super) fn on_nodes_changed(&self, changes: Vec<Change>) {
@@ -211,16 +401,16 @@
                         state.roster.on_announced(announcement.instance);
                     }
                 }
-                Change::Delete { key, .. } => {
+                Change::Delete { key, revision } => {
                     let name = key.strip_prefix(&self.prefix).unwrap_or_default();
-                    state.roster.on_deleted(now, name);
+                    state.roster.on_deleted(now, name, revision.0);
                     if name == self.name {
                         self.announcement_lost.notify_one();
                     }
                 }
             }
         }
-        self.publish(&state);
+        self.publish(&mut state);
     }
 
     /// Parses an announcement. Its epoch is set to the record revision, which orders the
@@ -273,12 +463,13 @@
             let now: Time = self.clock.now();
             let mut state = self.lock();
             if state.roster.remove_expired(now) {
-                self.publish(&state);
+                self.publish(&mut state);
             }
         }
     }
 
-    fn publish(&self, state: &Inner) {
+    fn publish(&self, state: &mut Inner) {
+        self.refresh_relays(state);
         let mut view = View::default();
         for instance in state.roster.instances() {
             if instance.name != self.name {
@@ -300,3 +491,33 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// The records of the current version, packed once.
+fn packed(state: &mut Inner) -> Option<PackedRecords> {
+    let version = state.plan_replica.version();
+    if let Some((packed_version, records)) = &state.packed_records
+        && *packed_version == version
+    {
+        return Some(records.clone());
+    }
+    let records = PackedRecords::pack(&state.plan_replica.records())?;
+    state.packed_records = Some((version, records.clone()));
+    Some(records)
+}
+
+fn log_role(watches: bool, is_relay: bool) {
+    match (watches, is_relay) {
+        (true, true) => log::info!("this node watches the store as a relay"),
+        (true, false) => log::info!("this node watches the store because it hears no relay"),
+        (false, _) => log::info!("this node no longer watches the store; it hears relays"),
+    }
+}
+
+/// Returns whether the value was another one before.
+fn set_if_changed<T: PartialEq>(sender: &watch::Sender<T>, value: T) -> bool {
+    sender.send_if_modified(|current| {
+        let changes = *current != value;
+        *current = value;
+        changes
+    })
+}
--- a/src/membership/direct/tests/announcer.rs
+++ b/src/membership/direct/tests/announcer.rs
@@ -61,6 +61,11 @@
     }
 }
 
+/// Until a lease that is not renewed has ended.
+async fn sleep_past_the_lease() {
+    sleep(Settings::default().lease_ttl + Duration::from_secs(10)).await;
+}
+
 async fn sleep_seconds(sleep_seconds: u64) {
     sleep(Duration::from_secs(sleep_seconds)).await;
 }
@@ -108,7 +113,7 @@
     node.announce("odber");
     sleep_seconds(2).await;
     node.kill();
-    sleep_seconds(40).await;
+    sleep_past_the_lease().await;
     assert!(!announced(&store).await);
     let again = Node::start(&store);
     again.announce("odber");
@@ -123,7 +128,7 @@
     node.announce("odber");
     sleep_seconds(2).await;
     store.down(true);
-    sleep_seconds(40).await;
+    sleep_past_the_lease().await;
     store.down(false);
     assert!(!announced(&store).await);
     sleep_seconds(2).await;
--- /dev/null
+++ b/src/membership/direct/tests/spread.rs
@@ -0,0 +1,103 @@
+//! How plan and roster reach every node of a fleet, and what it costs the store.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::fleet::{Fleet, name};
+
+/// Sizes of the users' deployments, and the size to build towards.
+const SIZES: [usize; 4] = [29, 67, 295, 850];
+/// Nodes that watch the store in a settled fleet of three regions.
+const MAX_RELAYS: usize = 6;
+/// Bound on the time from a change in the store to the last node.
+const SPREAD_LIMIT: Duration = Duration::from_secs(3);
+/// Bound on the store calls of a node in a short day.
+const MAX_CALLS_PER_NODE: f64 = 6.0;
+
+async fn seconds(seconds: u64) {
+    sleep(Duration::from_secs(seconds)).await;
+}
+
+/// Starts a fleet; after ten seconds it has its first plan.
+async fn settled(size: usize) -> Fleet {
+    let fleet = Fleet::start(size).await;
+    seconds(5).await;
+    fleet.set_plan(1).await;
+    seconds(5).await;
+    fleet
+}
+
+async fn calm_day(size: usize) {
+    let fleet = settled(size).await;
+    assert_eq!(fleet.without_view_of(size), []);
+    for number in 2..4 {
+        let version = fleet.set_plan(number).await;
+        sleep(SPREAD_LIMIT).await;
+        assert_eq!(fleet.behind(version), [""; 0]);
+        seconds(12).await;
+    }
+    let nodes = f64::from(u32::try_from(size).expect("a small fleet"));
+    let calls = fleet.calls() / nodes;
+    println!(
+        "{size} nodes: {calls:.2} calls a node, {:?}",
+        fleet.store.counters()
+    );
+    assert!(calls <= MAX_CALLS_PER_NODE, "{calls} calls a node");
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_calls_of_a_calm_day_do_not_grow_with_the_fleet() {
+    for size in SIZES {
+        calm_day(size).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn killed_relays_are_replaced() {
+    let mut fleet = settled(67).await;
+    let watchers = fleet.watchers();
+    assert!(watchers.len() <= MAX_RELAYS, "{watchers:?}");
+    for relay in &watchers {
+        fleet.kill(relay);
+    }
+    let version = fleet.set_plan(2).await;
+    sleep(SPREAD_LIMIT).await;
+    assert_eq!(fleet.behind(version), [""; 0]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn fleet_follows_the_store_after_an_outage() {
+    let fleet = settled(67).await;
+    fleet.store.down(true);
+    seconds(20).await;
+    fleet.store.down(false);
+    let version = fleet.set_plan(2).await;
+    sleep(SPREAD_LIMIT).await;
+    assert_eq!(fleet.behind(version), [""; 0]);
+    seconds(10).await;
+    assert!(
+        fleet.watchers().len() <= MAX_RELAYS,
+        "{:?}",
+        fleet.watchers()
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn stopped_node_leaves_every_view() {
+    let mut fleet = settled(67).await;
+    fleet.stop(&name(3)).await;
+    sleep(SPREAD_LIMIT).await;
+    assert_eq!(fleet.with_present(&name(3)), [""; 0]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn node_that_starts_again_has_the_plan_soon() {
+    let mut fleet = settled(67).await;
+    fleet.kill(&name(5));
+    seconds(2).await;
+    fleet.start_node(5);
+    let version = fleet.set_plan(2).await;
+    sleep(SPREAD_LIMIT).await;
+    assert_eq!(fleet.behind(version), [""; 0]);
+}
--- a/src/membership/snapshot_source.rs
+++ b/src/membership/snapshot_source.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use tokio::sync::watch;
 
 use super::ClusterSnapshot;
-use super::direct::PlanRecords;
+use super::direct::{PlanRecords, Progress};
 use crate::plan::Version;
 
 /// Source of the newest [`ClusterSnapshot`]; cheap to ask for every call.
@@ -25,6 +26,11 @@
     fn exchange_plan_records(&self, _theirs: PlanRecords) -> PlanRecords {
         PlanRecords::default()
     }
+
+    /// How much this node knows, for its subscribers; `None` if it has no subscribers.
+    fn progress(&self) -> Option<watch::Receiver<Progress>> {
+        None
+    }
 }
 
 /// A snapshot that is replaced by hand.
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -32,7 +32,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::gate::Gate;
-use crate::membership::direct::{self, Membership, PlanSource};
+use crate::membership::direct::{self, GossipTransport, Membership, PlanSource};
 use crate::membership::{Epoch, Instance, State};
 use crate::peer::Links;
 use crate::store::Client;
@@ -162,7 +162,8 @@
             settings: settings.registry,
         });
         let links = Arc::new(Links::new(settings.tuning.peer, Arc::clone(&observer)));
-        member.start_gossip(links.clone());
+        let transport: Arc<dyn GossipTransport> = links.clone();
+        member.start_gossip(&transport);
         let snapshot_source: Arc<dyn SnapshotSource> = Arc::new(member.snapshot_source());
         let configured = Arc::clone(&registry);
         let path = Path::start(
--- a/src/peer/load_subscription.rs
+++ b/src/peer/load_subscription.rs
@@ -19,7 +19,7 @@
 use super::wire::{self, Encoder, LoadUpdateMessage, RawFrame, kind};
 
 /// Minimum time between two load reports to one entry; limits the rate when load changes often.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(20);
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Load report and plan version pushed by a gate.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -1,7 +1,7 @@
 //! Gate side of one stream.
 //!
 //! The first message decides what the stream is for: a call, a claim request, a recall, an
-//! exchange of plan records or a load subscription. A call is run by the executor, and its
+//! exchange of plan records, or a subscription to loads or to the progress of a relay. A call is run by the executor, and its
 //! response, refusal or failure is sent back as frames.
 
 use bytes::Bytes;
@@ -57,6 +57,11 @@
             let _ = load_subscription::send_load_reports(&executor, respond).await;
             return;
         }
+        Ok(Some(FirstMessage::ProgressSubscribe)) => {
+            // An error means that the other node has closed the stream.
+            let _ = plan_records::send_progress(&executor, respond).await;
+            return;
+        }
         Ok(Some(FirstMessage::Recall(recall))) => {
             calls.recall(recall.call);
             // The entry gets the outcome of the recall on the stream of the call itself.
@@ -88,6 +93,7 @@
     Recall(Recall),
     PlanRecords(wire::PlanRecords),
     LoadSubscribe,
+    ProgressSubscribe,
 }
 
 /// Reads the first message; `None` if it is malformed or may not start a stream.
@@ -106,6 +112,7 @@
             .ok()
             .map(FirstMessage::Recall),
         kind::LOAD_SUBSCRIBE => Some(FirstMessage::LoadSubscribe),
+        kind::PROGRESS_SUBSCRIBE => Some(FirstMessage::ProgressSubscribe),
         kind::PLAN_RECORDS => wire::decode_message(kind, &payload)
             .ok()
             .map(FirstMessage::PlanRecords),
--- a/src/peer/wire/field.rs
+++ b/src/peer/wire/field.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use serde::de::{self, Deserialize, Deserializer, SeqAccess, Visitor};
 use serde::ser::{Serialize, SerializeSeq, Serializer};
@@ -76,6 +77,16 @@
     }
 }
 
+impl Field for Bytes {
+    fn write<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(self)
+    }
+
+    fn read<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        <&[u8]>::deserialize(deserializer).map(Self::copy_from_slice)
+    }
+}
+
 impl Field for Duration {
     fn write<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         serializer.serialize_u64(micros(*self))
--- a/src/peer/wire/message.rs
+++ b/src/peer/wire/message.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use serde::de::{Deserialize, Deserializer, SeqAccess, Visitor};
 use serde::ser::{Serialize, SerializeSeq, Serializer};
@@ -132,8 +133,25 @@
 pub struct PlanRecords {
     /// Plan version that results from the records.
     pub version: Version,
-    /// The records as JSON; empty if the other node needs none.
+    /// The records as JSON, as earlier versions send them; empty if there are none.
     pub records: String,
+    /// The records as compressed JSON; empty if the other node needs none.
+    pub packed_records: Bytes,
+    /// Store revision up to which the sender knows the roster; zero if it asks for none.
+    pub roster_revision: u64,
+    /// Changes of the roster as compressed JSON; empty if there are none.
+    pub packed_roster: Bytes,
+}
+
+/// How much a node knows, pushed to its subscribers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ProgressMessage {
+    /// Version of its plan records.
+    pub plan: Version,
+    /// Store revision up to which it knows the roster.
+    pub roster_revision: u64,
+    /// Its distance to the store.
+    pub distance: u32,
 }
 
 /// Load report pushed to a subscribed entry.
@@ -198,5 +216,6 @@
 counted_fields!(Recall, 1: call);
 counted_fields!(ClaimRequestMessage, 6: call, digest_high, digest_low, regions, intent, keep);
 counted_fields!(ClaimResponseMessage, 2: call, verdict);
-counted_fields!(PlanRecords, 2: version, records);
+counted_fields!(PlanRecords, 5: version, records, packed_records, roster_revision, packed_roster);
+counted_fields!(ProgressMessage, 3: plan, roster_revision, distance);
 counted_fields!(LoadUpdateMessage, 2: load, plan);
--- a/src/peer/wire/mod.rs
+++ b/src/peer/wire/mod.rs
@@ -19,8 +19,8 @@
 pub use decoder::{Decoder, Malformed, RawFrame, decode_message};
 pub use encoder::Encoder;
 pub use message::{
-    ClaimRequestMessage, ClaimResponseMessage, Failed, LoadUpdateMessage, PlanRecords, Recall,
-    Refused, RequestHead, ResponseHead, Trailers,
+    ClaimRequestMessage, ClaimResponseMessage, Failed, LoadUpdateMessage, PlanRecords,
+    ProgressMessage, Recall, Refused, RequestHead, ResponseHead, Trailers,
 };
 
 /// Version of the frames that this node sends.
@@ -66,6 +66,11 @@
     pub const LOAD_SUBSCRIBE: u8 = 13;
     /// To the entry: a load report. Message [`LoadUpdateMessage`](super::LoadUpdateMessage).
     pub const LOAD_UPDATE: u8 = 14;
+    /// To a relay: subscribes to its progress. No payload.
+    pub const PROGRESS_SUBSCRIBE: u8 = 15;
+    /// To a subscriber: how much the relay knows. Message
+    /// [`ProgressMessage`](super::ProgressMessage).
+    pub const PROGRESS: u8 = 16;
     /// To the entry: starts a response. Message [`ResponseHead`](super::ResponseHead).
     pub const RESPONSE_HEAD: u8 = 9;
 }
--- a/src/routing/settings.rs
+++ b/src/routing/settings.rs
@@ -94,7 +94,7 @@
             zone_candidates: 2,
             region_candidates: 1,
             remote_candidates: 1,
-            zone_subset: 6,
+            zone_subset: 4,
             region_subset: 2,
             remote_subset: 1,
             zone_latency: Duration::from_micros(200),
