--- a/src/bench/slopes/usage.rs
+++ b/src/bench/slopes/usage.rs
@@ -3,8 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-/// Bytes of one page of memory.
-const PAGE_BYTES: u64 = 4_096;
+use crate::memory;
 
 /// Length of one tick of processor time.
 const TICK: Duration = Duration::from_millis(10);
@@ -29,7 +28,7 @@
         let statm = std::fs::read_to_string(format!("/proc/{id}/statm"))?;
         Ok(Self {
             cpu: cpu(&stat)?,
-            resident_bytes: field(&statm, 1)? * PAGE_BYTES,
+            resident_bytes: memory::resident_bytes(&statm).ok_or_else(unknown_form)?,
         })
     }
 
@@ -51,11 +50,13 @@
     }
 }
 
+fn unknown_form() -> io::Error {
+    io::Error::other("the system's process table has another form")
+}
+
 /// User and system time; fields are counted after the name in parentheses.
 fn cpu(stat: &str) -> io::Result<Duration> {
-    let (_, fields) = stat
-        .rsplit_once(") ")
-        .ok_or_else(|| io::Error::other("the system's process table has another form"))?;
+    let (_, fields) = stat.rsplit_once(") ").ok_or_else(unknown_form)?;
     let ticks = field(fields, 11)? + field(fields, 12)?;
     Ok(TICK * u32::try_from(ticks).unwrap_or(u32::MAX))
 }
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -5,6 +5,7 @@
 mod call_ages;
 mod claims;
 mod drain;
+mod endless;
 mod hops;
 mod invalid_requests;
 mod outcomes;
--- a/src/entry/tests/test_cluster.rs
+++ b/src/entry/tests/test_cluster.rs
@@ -461,8 +461,13 @@
     NeverRespond,
     /// Sends these bytes after a delay and reads the next request.
     SendAfter(Duration, &'static str),
+    /// Sends the first bytes, then the second again and again until the caller closes.
+    SendWithoutEnd(&'static str, &'static str),
 }
 
+/// Bytes written at once by a server that sends without end.
+const REPEATED_BYTES: usize = 16 * 1024;
+
 /// Successful response.
 pub const OK: Step = Step::Send("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
 
@@ -574,6 +579,9 @@
                 let _ = socket.read(&mut [0; 1]).await;
                 return;
             }
+            Step::SendWithoutEnd(first, repeated) => {
+                return send_without_end(&mut socket, first, repeated).await;
+            }
             Step::SendAfter(delay, bytes) => {
                 tokio::time::sleep(delay).await;
                 if socket.write_all(bytes.as_bytes()).await.is_err() {
@@ -584,6 +592,14 @@
     }
 }
 
+async fn send_without_end(socket: &mut TcpStream, first: &str, repeated: &str) {
+    let part = repeated.repeat(REPEATED_BYTES / repeated.len());
+    let mut sent = socket.write_all(first.as_bytes()).await;
+    while sent.is_ok() {
+        sent = socket.write_all(part.as_bytes()).await;
+    }
+}
+
 /// Reads one request, with a body of known length or a chunked one; `None` at the end.
 async fn read_request(socket: &mut TcpStream, received: &mut Vec<u8>) -> Option<String> {
     loop {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod gate;
 pub mod headers;
 pub mod membership;
+mod memory;
 pub mod node;
 pub mod peer;
 pub mod plan;
--- a/src/membership/direct/gossip.rs
+++ b/src/membership/direct/gossip.rs
@@ -184,10 +184,10 @@
             let sources = self.shared.sources();
             subscriptions.retain(|name, own| sources.get(name) == Some(&own.node));
             for (name, node) in sources {
-                if !subscriptions.contains_key(&name) {
+                subscriptions.entry(name).or_insert_with_key(|name| {
                     let task = tokio::spawn(self.follow(name.clone(), node));
-                    subscriptions.insert(name, Subscription { node, task });
-                }
+                    Subscription { node, task }
+                });
             }
             tokio::select! {
                 // The sender lives as long as the shared state.
--- a/src/membership/direct/relays.rs
+++ b/src/membership/direct/relays.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Whether a relay was lost, so that the nodes are to be ranked anew when that time is over.
+    #[must_use]
+    pub fn has_lost(&self) -> bool {
+        !self.lost.is_empty()
+    }
+
     /// Ranks the known `nodes` anew. Lapsed nodes are not among them.
     pub fn update<'a>(&mut self, now: Time, nodes: impl Iterator<Item = &'a Instance>) {
         self.lost.retain(|_, at| now.since(*at) < LOST_TIME);
--- a/src/membership/direct/shared.rs
+++ b/src/membership/direct/shared.rs
@@ -138,16 +138,26 @@
         self.publish(&mut state);
     }
 
-    /// Brings what follows from the time and from the roster up to date: whether this node watches
-    /// the store, and what its subscribers are told.
+    /// Brings what follows from the time up to date: whether this node watches the store, and what
+    /// its subscribers are told.
     pub(super) fn refresh(&self) {
         let mut state = self.lock();
-        self.refresh_relays(&mut state);
+        if state.relays.has_lost() {
+            self.rank_relays(&mut state);
+        } else {
+            self.refresh_progress(&state);
+        }
     }
 
-    fn refresh_relays(&self, state: &mut Inner) {
+    /// Ranks the relays after the roster has changed or one was lost.
+    fn rank_relays(&self, state: &mut Inner) {
         let now = self.clock.now();
         state.relays.update(now, state.roster.announced());
+        self.refresh_progress(state);
+    }
+
+    fn refresh_progress(&self, state: &Inner) {
+        let now = self.clock.now();
         let watches = state.relays.watches_plans(now);
         set_if_changed(&self.watches_nodes, state.relays.watches_nodes(now));
         if set_if_changed(&self.watches_plans, watches) {
@@ -196,7 +206,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.relays.on_heard(now, relay, progress.distance);
-        self.refresh_relays(&mut state);
+        self.refresh_progress(&state);
         let has_newer_plan = progress.plan > state.plan_replica.version();
         let has_newer_roster = progress.roster_revision > state.roster.revision();
         if *self.watches_plans.borrow() {
@@ -217,7 +227,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.relays.on_lost(now, relay);
-        self.refresh_relays(&mut state);
+        self.rank_relays(&mut state);
     }
 
     /// Store revision from which a watch continues; `None` if nothing is known.
@@ -352,10 +362,10 @@
                 state.plan = Arc::new(plan);
                 self.publish(state);
             }
-            Ok(None) => self.refresh_relays(state),
+            Ok(None) => self.refresh_progress(state),
             Err(unreadable) => {
                 log::warn!("{unreadable}");
-                self.refresh_relays(state);
+                self.refresh_progress(state);
             }
         }
     }
@@ -469,7 +479,7 @@
     }
 
     fn publish(&self, state: &mut Inner) {
-        self.refresh_relays(state);
+        self.rank_relays(state);
         let mut view = View::default();
         for instance in state.roster.instances() {
             if instance.name != self.name {
--- a/src/membership/direct/tests/mod.rs
+++ b/src/membership/direct/tests/mod.rs
@@ -1,8 +1,10 @@
 mod announcer;
 mod fleet;
 mod orders;
+mod packed;
 mod peer_versions;
 mod plan_replica;
+mod relays;
 mod roster;
 mod spread;
 mod watch_pacing;
--- a/src/node/nearby.rs
+++ b/src/node/nearby.rs
@@ -45,10 +45,10 @@
             let wanted = self.wanted();
             subscriptions.retain(|name, own| wanted.get(name) == Some(&own.followed));
             for (name, followed) in wanted {
-                if !subscriptions.contains_key(&name) {
+                subscriptions.entry(name).or_insert_with_key(|name| {
                     let task = tokio::spawn(self.follow(name.clone(), followed));
-                    subscriptions.insert(name, Subscription { followed, task });
-                }
+                    Subscription { followed, task }
+                });
             }
             self.handle.changed().await;
         }
--- a/src/node/report.rs
+++ b/src/node/report.rs
@@ -8,6 +8,7 @@
 use super::control::Reading;
 use crate::call::Admission;
 use crate::membership::Handle;
+use crate::memory;
 use crate::plan::Version;
 use crate::telemetry::metric::{Metrics, Name, tag};
 
@@ -17,9 +18,6 @@
 /// Parts of a core in which processor time is reported.
 const CORE_SHARES: u128 = 10_000;
 
-/// Bytes of one page of memory.
-const PAGE_BYTES: u64 = 4_096;
-
 /// Reports gauges.
 pub struct Reporter {
     pub handle: Handle,
@@ -86,14 +84,9 @@
         let share = spent.as_micros() * CORE_SHARES / INTERVAL.as_micros();
         let share = u64::try_from(share).unwrap_or(u64::MAX);
         self.metrics.gauge(Name::ControlCpu, share, &[]);
-        if let Some(bytes) = resident_bytes() {
+        let statm = std::fs::read_to_string("/proc/self/statm");
+        if let Some(bytes) = statm.ok().and_then(|statm| memory::resident_bytes(&statm)) {
             self.metrics.gauge(Name::Memory, bytes, &[]);
         }
     }
 }
-
-fn resident_bytes() -> Option<u64> {
-    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
-    let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
-    Some(pages * PAGE_BYTES)
-}
