Review: a late copy of a health answer is taken for the answer to an order

Cause: Headers::classify_response takes an answer without X-Attempt-Id for the answer to whatever request waits, and a failure needs no signature. Health is asked on the connections that carry requests.

The case: one of four upstreams says that it is ill for 5 s and gives at most 3 in 100 of its answers twice, the second copy of a health answer late. An order that waits there is answered 503, "not run", while the upstream runs it.

--- /dev/null
+++ b/review/rig/upstream.rs
@@ -0,0 +1,233 @@
+//! A stand-in of an upstream.
+//!
+//! It runs each request for the milliseconds in the second segment of its path, and answers with
+//! its signature. It checks in at the node beside it.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::http::{self, Head, Reader};
+use crate::record::Record;
+
+/// Time between two check-ins.
+const CHECK_IN_INTERVAL: Duration = Duration::from_millis(1_500);
+const SLOTS: u32 = 9;
+const HEALTH: &str = "/healthz";
+/// Answers in 100 that are given twice, at most.
+const COPY_PERCENT: u64 = 3;
+
+/// What an upstream is told at its start.
+pub struct Settings {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub address: SocketAddr,
+    /// Where it checks in.
+    pub admin: SocketAddr,
+}
+
+/// One run of a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub attempt: String,
+    pub service: String,
+    pub zone: String,
+    pub path: String,
+    /// Since the start of the script.
+    pub at: Duration,
+}
+
+/// A running upstream.
+pub struct Upstream {
+    settings: Settings,
+    record: Record,
+    runs: Arc<Mutex<Vec<Run>>>,
+    running: AtomicU64,
+    sequence: AtomicU64,
+    born_ms: u128,
+    /// The health endpoint says 503 though requests are served well.
+    says_ill: AtomicBool,
+    /// Some health answers are given twice, the second time late.
+    gives_twice: AtomicBool,
+    /// Answers given since that began, and second copies of them.
+    answers: AtomicU64,
+    copies: AtomicU64,
+}
+
+impl Upstream {
+    pub fn start(settings: Settings, record: &Record, runs: &Arc<Mutex<Vec<Run>>>) -> Arc<Self> {
+        let listener = TcpListener::bind(settings.address).expect("a free port");
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let upstream = Arc::new(Self {
+            settings,
+            record: record.clone(),
+            runs: Arc::clone(runs),
+            running: AtomicU64::new(0),
+            sequence: AtomicU64::new(0),
+            born_ms: born.map_or(0, |born| born.as_millis()),
+            says_ill: AtomicBool::new(false),
+            gives_twice: AtomicBool::new(false),
+            answers: AtomicU64::new(0),
+            copies: AtomicU64::new(0),
+        });
+        let serving = Arc::clone(&upstream);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let upstream = Arc::clone(&serving);
+                thread::spawn(move || upstream.serve(Reader::new(stream)));
+            }
+        });
+        let checking_in = Arc::clone(&upstream);
+        thread::spawn(move || {
+            loop {
+                checking_in.check_in();
+                thread::sleep(CHECK_IN_INTERVAL);
+            }
+        });
+        upstream
+    }
+
+    pub fn set_ill(&self, ill: bool) {
+        self.says_ill.store(ill, Ordering::SeqCst);
+    }
+
+    /// From now on a share of the answers is given twice, or none.
+    pub fn set_gives_twice(&self, twice: bool) {
+        self.gives_twice.store(twice, Ordering::SeqCst);
+    }
+
+    /// Answers given while some were given twice, and how many were.
+    pub fn copied(&self) -> (u64, u64) {
+        let answers = self.answers.load(Ordering::SeqCst);
+        (answers, self.copies.load(Ordering::SeqCst))
+    }
+
+    /// Whether one more answer may be given twice: at most `COPY_PERCENT` in 100 are.
+    fn is_given_twice(&self, head: &Head) -> bool {
+        if !self.gives_twice.load(Ordering::SeqCst) {
+            return false;
+        }
+        let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+        let copies = self.copies.load(Ordering::SeqCst);
+        let is_due = head.target() == HEALTH && (copies + 1) * 100 <= answers * COPY_PERCENT;
+        if is_due {
+            self.copies.fetch_add(1, Ordering::SeqCst);
+        }
+        is_due
+    }
+
+    fn serve(&self, mut reader: Reader) {
+        // Second copy of the last answer on this connection; it leaves late.
+        let mut late_copy: Option<Vec<u8>> = None;
+        while let Ok(Some(head)) = reader.head() {
+            let Ok(_) = reader.body(&head, false) else {
+                return;
+            };
+            if let Some(copy) = late_copy.take() {
+                let first = String::from_utf8_lossy(&copy);
+                let first = first.lines().next().unwrap_or_default().to_owned();
+                self.line(&format!(
+                    "late second copy of its last answer ({first}) as {} {} arrives",
+                    head.target(),
+                    attempt(&head)
+                ));
+                if http::write(&mut reader.stream, &copy).is_err() {
+                    return;
+                }
+            }
+            let answer = self.answer(&head);
+            if http::write(&mut reader.stream, &answer).is_err() {
+                return;
+            }
+            late_copy = self.is_given_twice(&head).then_some(answer);
+        }
+    }
+
+    fn answer(&self, head: &Head) -> Vec<u8> {
+        let running = self.running.load(Ordering::SeqCst);
+        let load = ("X-Load", format!("{running},0,{SLOTS},100"));
+        let own = ("X-Instance", self.settings.id.clone());
+        if head.target() == HEALTH {
+            let status = match self.says_ill.load(Ordering::SeqCst) {
+                true => "503 Service Unavailable",
+                false => "200 OK",
+            };
+            return http::answer(status, &[own, load], b"");
+        }
+        let expected = head.get("x-expect-instance");
+        if expected.is_some_and(|expected| expected != self.settings.id) {
+            let not_run = ("X-Not-Run", "1".to_owned());
+            return http::answer("421 Misdirected Request", &[own, not_run], b"");
+        }
+        self.run(head);
+        let id = ("X-Attempt-Id", attempt(head).to_owned());
+        let signature = ("X-Response-Sig", format!("sig-{}", attempt(head)));
+        let body = format!("{} ran {}", self.settings.id, attempt(head));
+        http::answer("200 OK", &[id, signature, load], body.as_bytes())
+    }
+
+    fn run(&self, head: &Head) {
+        let path = head.target().to_owned();
+        let work = path.split('/').nth(2).and_then(|text| text.parse().ok());
+        let work = Duration::from_millis(work.unwrap_or(0));
+        let caller = head.get("x-caller").unwrap_or_default();
+        let left = head.get("x-deadline-ms").unwrap_or_default();
+        self.line(&format!(
+            "runs {path} {} of {caller}, {left} ms left",
+            attempt(head)
+        ));
+        self.runs.lock().expect("no panic").push(Run {
+            attempt: attempt(head).to_owned(),
+            service: self.settings.service.clone(),
+            zone: self.settings.zone.clone(),
+            path,
+            at: self.record.now(),
+        });
+        self.running.fetch_add(1, Ordering::SeqCst);
+        thread::sleep(work);
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        self.line(&format!("has run {}", attempt(head)));
+    }
+
+    fn check_in(&self) {
+        let Settings {
+            id,
+            service,
+            zone,
+            address,
+            admin,
+        } = &self.settings;
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let body = format!(
+            "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\
+             \"version\":\"v1\",\"slots\":{SLOTS},\"state\":\"ready\",\"warmup_s_time\":0,\
+             \"seq\":{sequence},\"born\":{}}}",
+            self.born_ms
+        );
+        let Ok(mut stream) = TcpStream::connect(admin) else {
+            return;
+        };
+        let kind = ("Content-Type", "application/json".to_owned());
+        let host = ("Host", admin.to_string());
+        let target = format!("/instances/{id}");
+        let bytes = http::request("PUT", &target, &[host, kind], body.as_bytes());
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+        if http::write(&mut stream, &bytes).is_ok() {
+            // Without an answer it checks in again later.
+            let _ = Reader::new(stream).head();
+        }
+    }
+
+    fn line(&self, text: &str) {
+        let Settings { id, service, .. } = &self.settings;
+        self.record
+            .line(&format!("upstream {id} ({service}) {text}"));
+    }
+}
+
+fn attempt(head: &Head) -> &str {
+    head.get("x-attempt-id").unwrap_or_default()
+}
