Review: a region keeps an old config after the store left it unanswered

Cause: the only bound of a watch is its wait of 25 s plus 1 s. A relay whose watch hangs tells distance 0, so its region neither watches for itself nor asks other nodes.

The case: 12 nodes; the store leaves the 4 of one region without an answer for 9 s, and a config changes meanwhile. Judged from 3 s after the end of that.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -14,6 +14,7 @@
 mod world;
 
 mod health_copy;
+mod silent_store;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -46,6 +47,7 @@
     // A thread of its own, so that a panic ends the nodes and the script says so.
     let running = thread::spawn(move || match case.as_str() {
         "health-copy" => health_copy::run(&record, trouble),
+        "silent-store" => silent_store::run(&record, trouble),
         _ => Verdict::CouldNotRun,
     });
     thread::spawn(|| {
