Review: a planned stop ends requests before the grace allows

Cause: GRACE_SHARE is 0.8, less than the five sixths of the grace that the rule leaves to upstreams.

The case: a node gets SIGTERM and requests for which an upstream works 4.82 s, with a route timeout of 5 s and a grace of 6 s. It ends after 4.80 s and closes their connections.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -15,6 +15,7 @@
 
 mod health_copy;
 mod silent_store;
+mod stop;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -48,6 +49,7 @@
     let running = thread::spawn(move || match case.as_str() {
         "health-copy" => health_copy::run(&record, trouble),
         "silent-store" => silent_store::run(&record, trouble),
+        "stop" => stop::run(&record, trouble),
         _ => Verdict::CouldNotRun,
     });
     thread::spawn(|| {
