Review: a route that moves is answered 404 by gates that lag behind

Cause: a gate that does not know the newer plan yet refuses as unknown-route, and the entry passes that on as its own 404 though its plan has the route.

--- a/review/rig/client.rs
+++ b/review/rig/client.rs
@@ -37,65 +37,87 @@
     pub request: Request,
     /// Since the start of the script.
     pub at: Duration,
-    pub took: Duration,
     pub end: End,
+    /// Whether its connection had served a request before.
+    pub is_kept: bool,
 }
 
 /// Sends a request on a new connection and waits for its end.
 pub fn send(node: SocketAddr, request: &Request, record: &Record) -> Sent {
-    let at = record.now();
-    let started = Instant::now();
-    record.line(&format!(
-        "consumer sends {} {} {} to {node}",
-        request.method, request.path, request.id
-    ));
-    let end = exchange(node, request);
-    let took = started.elapsed();
-    record.line(&format!(
-        "consumer of {} sees {end:?} after {:.3} s",
-        request.id,
-        took.as_secs_f64()
-    ));
-    Sent {
-        request: request.clone(),
-        at,
-        took,
-        end,
-    }
+    Connection::default().send(node, request, record)
 }
 
-fn exchange(node: SocketAddr, request: &Request) -> End {
-    let Ok(mut stream) = TcpStream::connect_timeout(&node, Duration::from_secs(1)) else {
-        return End::NotTaken;
-    };
-    let _ = stream.set_read_timeout(Some(request.deadline));
-    let fields = [
-        ("Host", request.host.to_owned()),
-        ("X-Attempt-Id", request.id.clone()),
-        ("X-Deadline-Ms", request.deadline.as_millis().to_string()),
-    ];
-    let body: &[u8] = if request.method == "GET" { b"" } else { b"two" };
-    let bytes = http::request(request.method, &request.path, &fields, body);
-    if http::write(&mut stream, &bytes).is_err() {
-        return End::NotTaken;
+/// A connection that is kept for the next request while it lasts.
+#[derive(Default)]
+pub struct Connection {
+    kept: Option<Reader>,
+}
+
+impl Connection {
+    /// Sends a request and waits for its end.
+    pub fn send(&mut self, node: SocketAddr, request: &Request, record: &Record) -> Sent {
+        let at = record.now();
+        let started = Instant::now();
+        record.line(&format!(
+            "consumer sends {} {} {} to {node}",
+            request.method, request.path, request.id
+        ));
+        let is_kept = self.kept.is_some();
+        let end = self.exchange(node, request);
+        record.line(&format!(
+            "consumer of {} sees {end:?} after {:.3} s",
+            request.id,
+            started.elapsed().as_secs_f64()
+        ));
+        Sent {
+            request: request.clone(),
+            at,
+            end,
+            is_kept,
+        }
     }
-    let mut reader = Reader::new(stream);
-    match answer(&mut reader) {
-        Ok(Some(status)) => End::Answered(status),
-        Ok(None) => End::Closed,
-        Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-            End::GaveUp
+
+    fn exchange(&mut self, node: SocketAddr, request: &Request) -> End {
+        let Some(mut reader) = self.kept.take().or_else(|| connect(node)) else {
+            return End::NotTaken;
+        };
+        let _ = reader.stream.set_read_timeout(Some(request.deadline));
+        let fields = [
+            ("Host", request.host.to_owned()),
+            ("X-Attempt-Id", request.id.clone()),
+            ("X-Deadline-Ms", request.deadline.as_millis().to_string()),
+        ];
+        let body: &[u8] = if request.method == "GET" { b"" } else { b"two" };
+        let bytes = http::request(request.method, &request.path, &fields, body);
+        if http::write(&mut reader.stream, &bytes).is_err() {
+            return End::NotTaken;
+        }
+        match answer(&mut reader) {
+            Ok(Some(head)) => {
+                let closes = head.get("connection").is_some_and(|value| value == "close");
+                self.kept = (!closes).then_some(reader);
+                End::Answered(head.status())
+            }
+            Ok(None) => End::Closed,
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                End::GaveUp
+            }
+            Err(_) => End::Closed,
         }
-        Err(_) => End::Closed,
     }
 }
 
-fn answer(reader: &mut Reader) -> std::io::Result<Option<u16>> {
+fn connect(node: SocketAddr) -> Option<Reader> {
+    let stream = TcpStream::connect_timeout(&node, Duration::from_secs(1));
+    stream.ok().map(Reader::new)
+}
+
+fn answer(reader: &mut Reader) -> std::io::Result<Option<Head>> {
     let Some(head) = reader.head()? else {
         return Ok(None);
     };
     reader.body(&head, true)?;
-    Ok(Some(head.status()))
+    Ok(Some(head))
 }
 
 /// Asks as the platform does.
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -14,6 +14,7 @@
 mod world;
 
 mod health_copy;
+mod lagging_gate;
 mod silent_store;
 mod stop;
 
@@ -48,6 +49,7 @@
     // A thread of its own, so that a panic ends the nodes and the script says so.
     let running = thread::spawn(move || match case.as_str() {
         "health-copy" => health_copy::run(&record, trouble),
+        "lagging-gate" => lagging_gate::run(&record, trouble),
         "silent-store" => silent_store::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
         _ => Verdict::CouldNotRun,
--- a/review/rig/node.rs
+++ b/review/rig/node.rs
@@ -94,6 +94,15 @@
         unsafe { kill(process, signal) };
     }
 
+    /// Memory that the process holds.
+    pub fn memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let figure = line.and_then(|line| line.split_whitespace().next());
+        figure.and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
     /// Waits until the process has ended; its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child.wait().ok().and_then(|status| status.code())
--- a/review/rig/upstream.rs
+++ b/review/rig/upstream.rs
@@ -50,6 +50,8 @@
     born_ms: u128,
     /// The health endpoint says 503 though requests are served well.
     says_ill: AtomicBool,
+    /// The health endpoint answers with bytes that never end.
+    is_endless: AtomicBool,
     /// Some health answers are given twice, the second time late.
     gives_twice: AtomicBool,
     /// Answers given since that began, and second copies of them.
@@ -69,6 +71,7 @@
             sequence: AtomicU64::new(0),
             born_ms: born.map_or(0, |born| born.as_millis()),
             says_ill: AtomicBool::new(false),
+            is_endless: AtomicBool::new(false),
             gives_twice: AtomicBool::new(false),
             answers: AtomicU64::new(0),
             copies: AtomicU64::new(0),
@@ -94,6 +97,10 @@
         self.says_ill.store(ill, Ordering::SeqCst);
     }
 
+    pub fn set_endless(&self, endless: bool) {
+        self.is_endless.store(endless, Ordering::SeqCst);
+    }
+
     /// From now on a share of the answers is given twice, or none.
     pub fn set_gives_twice(&self, twice: bool) {
         self.gives_twice.store(twice, Ordering::SeqCst);
@@ -138,6 +145,9 @@
                     return;
                 }
             }
+            if head.target() == HEALTH && self.is_endless.load(Ordering::SeqCst) {
+                return self.answer_without_end(reader.stream);
+            }
             let answer = self.answer(&head);
             if http::write(&mut reader.stream, &answer).is_err() {
                 return;
@@ -169,6 +179,18 @@
         http::answer("200 OK", &[id, signature, load], body.as_bytes())
     }
 
+    /// Sends bytes until the caller closes, or the trouble is over.
+    fn answer_without_end(&self, mut stream: TcpStream) {
+        let part = [b'x'; 64 * 1024];
+        let mut bytes = 0;
+        let mut sent = http::write(&mut stream, b"HTTP/1.1 200 OK\r\n\r\n");
+        while sent.is_ok() && self.is_endless.load(Ordering::SeqCst) {
+            sent = http::write(&mut stream, &part);
+            bytes += part.len();
+        }
+        self.line(&format!("has sent {bytes} bytes from its health endpoint"));
+    }
+
     fn run(&self, head: &Head) {
         let path = head.target().to_owned();
         let work = path.split('/').nth(2).and_then(|text| text.parse().ok());
--- a/review/rig/world.rs
+++ b/review/rig/world.rs
@@ -24,7 +24,7 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub record: Record,
     // Dropped after the nodes, which write there.
-    _folder: Folder,
+    folder: Folder,
 }
 
 impl World {
@@ -58,7 +58,7 @@
             upstreams,
             runs,
             record: record.clone(),
-            _folder: folder,
+            folder,
         };
         if !world.nodes.iter().all(Node::becomes_ready) {
             record.tell("a node did not become ready");
@@ -69,6 +69,12 @@
         Some(world)
     }
 
+    /// Starts the node of a machine again.
+    pub fn restart(&mut self, place: usize, machines: &[Machine]) {
+        let (machine, store) = (&machines[place], self.paths[place].address);
+        self.nodes[place] = Node::start(machine, machines, store, &self.folder.0);
+    }
+
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().expect("no panic").clone()
     }
