Review: a health answer without end costs a node its memory

Cause: Registry::probe reads the body of the health answer without a limit on its size, for up to 0.5 s, ten times a second.

The case: 4 nodes; one upstream answers its health endpoint with bytes that never end, for 5 s. The script kills the node beyond memory_mb, as the platform does, and starts it again. Consumers on that machine use sound upstreams.

The case of the silent store now counts runs outside home regions as well.

--- a/review/rig/config.rs
+++ b/review/rig/config.rs
@@ -8,6 +8,8 @@
     pub prefix: &'static str,
     pub service: &'static str,
     pub timeout_s: f64,
+    /// Regions outside which its requests may not be served; none for everywhere.
+    pub homes: &'static [&'static str],
 }
 
 /// Host of every rule.
@@ -33,10 +35,13 @@
         prefix,
         service,
         timeout_s,
+        homes,
     } = rule;
+    let homes: Vec<String> = homes.iter().map(|home| format!("\"{home}\"")).collect();
+    let homes = homes.join(",");
     format!(
         r#"{{"name":"{name}","kind":"{kind}","slo_s":{slo_s},"priority":1,"match":{{"prefix":"{prefix}"}},
-"action":{{"service":"{service}","timeout_s":{timeout_s},"attempts":2,"home_regions":[]}}}}"#
+"action":{{"service":"{service}","timeout_s":{timeout_s},"attempts":2,"home_regions":[{homes}]}}}}"#
     )
 }
 
--- a/review/rig/health_copy.rs
+++ b/review/rig/health_copy.rs
@@ -32,6 +32,7 @@
         prefix: "/order/",
         service: "desk",
         timeout_s: 1.0,
+        homes: &[],
     }];
     let config = config::text(1, &rules, &SERVICES);
     let Some(world) = World::start(&machines, &config, record) else {
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -18,10 +18,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.start.split(' ').next().unwrap_or_default()
-    }
-
     pub fn target(&self) -> &str {
         self.start.split(' ').nth(1).unwrap_or_default()
     }
--- a/review/rig/lagging_gate.rs
+++ b/review/rig/lagging_gate.rs
@@ -72,6 +72,7 @@
         prefix: "/a/",
         service: service_after(change),
         timeout_s: 1.0,
+        homes: &[],
     };
     config::text(change + 1, &[rule], &[DESK, LEDGER])
 }
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -13,6 +13,7 @@
 mod upstream;
 mod world;
 
+mod endless_health;
 mod health_copy;
 mod lagging_gate;
 mod silent_store;
@@ -48,6 +49,7 @@
     let telling = record.clone();
     // A thread of its own, so that a panic ends the nodes and the script says so.
     let running = thread::spawn(move || match case.as_str() {
+        "endless-health" => endless_health::run(&record, trouble),
         "health-copy" => health_copy::run(&record, trouble),
         "lagging-gate" => lagging_gate::run(&record, trouble),
         "silent-store" => silent_store::run(&record, trouble),
--- a/review/rig/silent_store.rs
+++ b/review/rig/silent_store.rs
@@ -11,10 +11,13 @@
 use crate::config::{self, HOST, Rule};
 use crate::node::Machine;
 use crate::record::Record;
+use crate::upstream::Run;
 use crate::world::{DESK, LEDGER, World, three_regions};
 
 /// Region whose machines are turned away: 4 of 12.
 const TURNED_AWAY: &str = "kakamega";
+/// Regions where `/home/` may be served after the change.
+const HOMES: [&str; 2] = ["kisumu", "nakuru"];
 const SILENCE: Duration = Duration::from_secs(9);
 /// From the start of the silence to the change.
 const CHANGE_AFTER: Duration = Duration::from_secs(1);
@@ -26,22 +29,24 @@
 
 pub fn run(record: &Record, trouble: bool) -> Verdict {
     let machines = three_regions();
-    let config = config::text(1, &rules(1.0, DESK, false), &[DESK, LEDGER]);
+    let config = config::text(1, &rules(1.0, false), &[DESK, LEDGER]);
     let Some(world) = World::start(&machines, &config, record) else {
         return Verdict::CouldNotRun;
     };
     // A first change, a second before the silence; every node takes it up.
-    let longer = config::text(2, &rules(1.1, DESK, false), &[DESK, LEDGER]);
+    let longer = config::text(2, &rules(1.1, false), &[DESK, LEDGER]);
     world.store.put("op/config", &longer);
     record.line("config 2 is acknowledged (another timeout)");
     let traffic = Traffic::start(&machines, record);
     thread::sleep(Duration::from_secs(1));
     set_silent(&world, trouble);
     thread::sleep(CHANGE_AFTER);
-    let moved = config::text(3, &rules(1.1, LEDGER, true), &[DESK, LEDGER]);
+    let moved = config::text(3, &rules(1.1, true), &[DESK, LEDGER]);
     world.store.put("op/config", &moved);
     let acknowledged_at = record.now();
-    record.line("config 3 is acknowledged (/moved/ goes to ledger, /added/ is new)");
+    record.line(
+        "config 3 is acknowledged (/moved/ goes to ledger, /added/ is new, /home/ has homes)",
+    );
     thread::sleep(SILENCE - CHANGE_AFTER);
     set_silent(&world, false);
     let judged_from = record.now() + CONTACT;
@@ -50,20 +55,29 @@
     judge(&world, &sent, judged_from.max(acknowledged_at + APPLY))
 }
 
-fn rules(timeout_s: f64, moved_to: &'static str, with_added: bool) -> Vec<Rule> {
-    let rule = |name, prefix, service| Rule {
+/// Rules before the change that gets lost, or after it.
+fn rules(timeout_s: f64, is_changed: bool) -> Vec<Rule> {
+    let rule = |name, prefix, service, homes| Rule {
         name,
         kind: "safe",
         slo_s: 0.3,
         prefix,
         service,
         timeout_s,
+        homes,
     };
-    let mut rules = vec![rule("moved", "/moved/", moved_to)];
-    if with_added {
-        rules.push(rule("added", "/added/", LEDGER));
+    if !is_changed {
+        let everywhere: &[&str] = &[];
+        return vec![
+            rule("moved", "/moved/", DESK, everywhere),
+            rule("home", "/home/", DESK, everywhere),
+        ];
     }
-    rules
+    vec![
+        rule("moved", "/moved/", LEDGER, &[]),
+        rule("added", "/added/", LEDGER, &[]),
+        rule("home", "/home/", DESK, &HOMES),
+    ]
 }
 
 fn set_silent(world: &World, silent: bool) {
@@ -98,11 +112,7 @@
                 let mut sent = Vec::new();
                 thread::sleep(Duration::from_millis(50 * number as u64));
                 while !stopped.load(Ordering::SeqCst) {
-                    let prefix = if sent.len() % 2 == 0 {
-                        "moved"
-                    } else {
-                        "added"
-                    };
+                    let prefix = ["moved", "added", "home"][sent.len() % 3];
                     let request = Request {
                         id: format!("{prefix}-{}-{}", machine.name, sent.len()),
                         method: "GET",
@@ -131,34 +141,31 @@
     }
 }
 
-/// CONFIG: handled as only an older version allows, later than `from`.
+/// CONFIG: handled as only an older version allows, later than `from`. HOME: run elsewhere.
 fn judge(world: &World, sent: &[Sent], from: Duration) -> Verdict {
     let runs = world.runs();
-    let ran_at = |sent: &Sent, service: &str| {
-        let mut own = runs.iter().filter(|run| run.attempt == sent.request.id);
-        own.any(|run| run.service == service)
-    };
     let judged: Vec<&Sent> = sent.iter().filter(|sent| sent.at > from).collect();
-    let is_moved = |sent: &&&Sent| sent.request.path.starts_with("/moved/");
-    let by_old = judged
-        .iter()
-        .filter(is_moved)
-        .filter(|sent| ran_at(sent, DESK));
+    let run_of = |sent: &Sent| runs.iter().find(|run| run.attempt == sent.request.id);
+    let is_on = |sent: &Sent, prefix: &str| sent.request.path.starts_with(prefix);
+    let by_old = judged.iter().filter(|sent| {
+        is_on(sent, "/moved/") && run_of(sent).is_some_and(|run| run.service == DESK)
+    });
+    let abroad = judged.iter().filter(|sent| {
+        let is_abroad = |run: &Run| !HOMES.iter().any(|home| run.zone.starts_with(home));
+        is_on(sent, "/home/") && run_of(sent).is_some_and(is_abroad)
+    });
     let unknown = judged.iter().filter(|sent| sent.end == End::Answered(404));
-    let (by_old, unknown) = (by_old.count(), unknown.count());
-    let last = judged
-        .iter()
-        .filter(|sent| ran_at(sent, DESK))
-        .map(|sent| sent.at)
-        .max();
+    let last = by_old.clone().map(|sent| sent.at).max().unwrap_or_default();
+    let (by_old, abroad, unknown) = (by_old.count(), abroad.count(), unknown.count());
     world.record.tell(&format!(
         "{} requests judged from {:.1} s on: {by_old} run by the old service, {unknown} answered \
-         404, the last run by the old service sent at {:.1} s",
+         404, {abroad} run outside their home regions; the last run by the old service was sent at \
+         {:.1} s",
         judged.len(),
         from.as_secs_f64(),
-        last.unwrap_or_default().as_secs_f64(),
+        last.as_secs_f64(),
     ));
-    match (judged.len(), by_old + unknown) {
+    match (judged.len(), by_old + unknown + abroad) {
         (0, _) => Verdict::CouldNotRun,
         (_, 0) => Verdict::Held,
         _ => Verdict::Broken,
--- a/review/rig/stop.rs
+++ b/review/rig/stop.rs
@@ -28,6 +28,7 @@
         prefix: "/quality/",
         service: "ledger",
         timeout_s: 5.0,
+        homes: &[],
     }];
     let config = config::text(1, &rules, &SERVICES);
     let Some(mut world) = World::start(&machines, &config, record) else {
--- a/review/rig/upstream.rs
+++ b/review/rig/upstream.rs
@@ -35,7 +35,6 @@
     pub attempt: String,
     pub service: String,
     pub zone: String,
-    pub path: String,
     /// Since the start of the script.
     pub at: Duration,
 }
@@ -48,6 +47,8 @@
     running: AtomicU64,
     sequence: AtomicU64,
     born_ms: u128,
+    /// It has said farewell: it checks in no more, and its health endpoint says 503.
+    has_left: AtomicBool,
     /// The health endpoint says 503 though requests are served well.
     says_ill: AtomicBool,
     /// The health endpoint answers with bytes that never end.
@@ -70,6 +71,7 @@
             running: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             born_ms: born.map_or(0, |born| born.as_millis()),
+            has_left: AtomicBool::new(false),
             says_ill: AtomicBool::new(false),
             is_endless: AtomicBool::new(false),
             gives_twice: AtomicBool::new(false),
@@ -85,8 +87,9 @@
         });
         let checking_in = Arc::clone(&upstream);
         thread::spawn(move || {
-            loop {
-                checking_in.check_in();
+            while !checking_in.has_left.load(Ordering::SeqCst) {
+                checking_in.sequence.fetch_add(1, Ordering::SeqCst);
+                let _ = checking_in.say("PUT", &checking_in.last_check_in());
                 thread::sleep(CHECK_IN_INTERVAL);
             }
         });
@@ -161,7 +164,8 @@
         let load = ("X-Load", format!("{running},0,{SLOTS},100"));
         let own = ("X-Instance", self.settings.id.clone());
         if head.target() == HEALTH {
-            let status = match self.says_ill.load(Ordering::SeqCst) {
+            let is_off = [&self.says_ill, &self.has_left];
+            let status = match is_off.iter().any(|state| state.load(Ordering::SeqCst)) {
                 true => "503 Service Unavailable",
                 false => "200 OK",
             };
@@ -192,7 +196,7 @@
     }
 
     fn run(&self, head: &Head) {
-        let path = head.target().to_owned();
+        let path = head.target();
         let work = path.split('/').nth(2).and_then(|text| text.parse().ok());
         let work = Duration::from_millis(work.unwrap_or(0));
         let caller = head.get("x-caller").unwrap_or_default();
@@ -205,7 +209,6 @@
             attempt: attempt(head).to_owned(),
             service: self.settings.service.clone(),
             zone: self.settings.zone.clone(),
-            path,
             at: self.record.now(),
         });
         self.running.fetch_add(1, Ordering::SeqCst);
@@ -214,33 +217,49 @@
         self.line(&format!("has run {}", attempt(head)));
     }
 
-    fn check_in(&self) {
+    /// Body of its last check-in.
+    pub fn last_check_in(&self) -> String {
         let Settings {
-            id,
             service,
             zone,
             address,
-            admin,
+            ..
         } = &self.settings;
-        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let body = format!(
+        let sequence = self.sequence.load(Ordering::SeqCst);
+        format!(
             "{{\"service\":\"{service}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":{SLOTS},\"state\":\"ready\",\"warmup_s_time\":0,\
              \"seq\":{sequence},\"born\":{}}}",
             self.born_ms
-        );
-        let Ok(mut stream) = TcpStream::connect(admin) else {
-            return;
-        };
+        )
+    }
+
+    /// Sends an earlier check-in, as if it had been under way until now.
+    pub fn send_check_in(&self, body: &str) {
+        let status = self.say("PUT", body);
+        self.line(&format!("check-in arrives late: {body}, answer {status:?}"));
+    }
+
+    /// Says farewell and goes on serving. Tells whether it was acknowledged.
+    pub fn leave(&self) -> bool {
+        self.has_left.store(true, Ordering::SeqCst);
+        let status = self.say("DELETE", "");
+        self.line(&format!("says farewell, answer {status:?}"));
+        status == Some(200)
+    }
+
+    /// Says something to the node beside it. Without an answer it says it again later.
+    fn say(&self, method: &str, body: &str) -> Option<u16> {
+        let Settings { id, admin, .. } = &self.settings;
+        let mut stream = TcpStream::connect(admin).ok()?;
         let kind = ("Content-Type", "application/json".to_owned());
         let host = ("Host", admin.to_string());
         let target = format!("/instances/{id}");
-        let bytes = http::request("PUT", &target, &[host, kind], body.as_bytes());
-        let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
-        if http::write(&mut stream, &bytes).is_ok() {
-            // Without an answer it checks in again later.
-            let _ = Reader::new(stream).head();
-        }
+        let bytes = http::request(method, &target, &[host, kind], body.as_bytes());
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        http::write(&mut stream, &bytes).ok()?;
+        let head = Reader::new(stream).head().ok().flatten()?;
+        Some(head.status())
     }
 
     fn line(&self, text: &str) {
