Review: an upstream that left during a planned stop is in use again

Cause: a node that stops ends its announcer at once but goes on acknowledging farewells, so what it acknowledges then is never stored. The next process takes a late check-in of that upstream for news and ignores its health answer, 503.

The case: 4 nodes; one gets SIGTERM, its upstream says farewell 0.5 s later and goes on serving. After the restart one of its earlier check-ins arrives, 3.5 s late. It takes the place of the lesser case of answers with 404.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -15,7 +15,7 @@
 
 mod endless_health;
 mod health_copy;
-mod lagging_gate;
+mod left_server;
 mod silent_store;
 mod stop;
 
@@ -51,7 +51,7 @@
     let running = thread::spawn(move || match case.as_str() {
         "endless-health" => endless_health::run(&record, trouble),
         "health-copy" => health_copy::run(&record, trouble),
-        "lagging-gate" => lagging_gate::run(&record, trouble),
+        "left-server" => left_server::run(&record, trouble),
         "silent-store" => silent_store::run(&record, trouble),
         "stop" => stop::run(&record, trouble),
         _ => Verdict::CouldNotRun,
