Review: put the cases in order, the gravest first

The case of the copied health answer has more orders, that of the planned stop only as many requests as the upstream takes at once. No check has changed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A health answer without end costs the node its memory, and its consumers their requests.
+# A planned stop ends requests before the grace allows.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/rig ] && [ -x target/release/monsooncove-platform ] || exit 2
-exec target/review/rig endless-health review/5
+exec target/review/rig stop review/5
