--- a/review/rig/health_copy.rs
+++ b/review/rig/health_copy.rs
@@ -76,7 +76,8 @@
                         deadline: Duration::from_secs(2),
                     };
                     sent.push(client::send(entry, &request, &record));
-                    thread::sleep(Duration::from_millis(40));
+                    // Each at its own pace, so that they don't fall into step.
+                    thread::sleep(Duration::from_millis(30 + 9 * consumer as u64));
                 }
                 sent
             })
