--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -59,6 +59,7 @@
     thread::spawn(|| {
         thread::sleep(RUN_LIMIT);
         eprintln!("the script took too long");
+        node::kill_all();
         exit(2);
     });
     let verdict = running.join().unwrap_or(Verdict::CouldNotRun);
--- a/review/rig/node.rs
+++ b/review/rig/node.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use crate::client;
@@ -18,6 +19,26 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+/// Processes that were started and not waited for.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn running() -> MutexGuard<'static, Vec<u32>> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Kills every process that still runs, for a script that takes too long.
+pub fn kill_all() {
+    for &process in running().iter() {
+        send_signal(process, SIGKILL);
+    }
+}
+
+fn send_signal(process: u32, signal: i32) {
+    let process = i32::try_from(process).expect("a small number");
+    // SAFETY: `kill` takes two numbers; the process is our child and was not waited for.
+    unsafe { kill(process, signal) };
+}
+
 /// Place and service of a machine.
 #[derive(Clone, Debug)]
 pub struct Machine {
@@ -82,6 +103,7 @@
             .stdout(log.expect("a writable folder"))
             .spawn()
             .expect("the program is built");
+        running().push(child.id());
         Self {
             machine: machine.clone(),
             child,
@@ -89,9 +111,7 @@
     }
 
     pub fn signal(&self, signal: i32) {
-        let process = i32::try_from(self.child.id()).expect("a small number");
-        // SAFETY: `kill` takes two numbers; the process is our child and was not waited for.
-        unsafe { kill(process, signal) };
+        send_signal(self.child.id(), signal);
     }
 
     /// Memory that the process holds.
@@ -105,7 +125,9 @@
 
     /// Waits until the process has ended; its exit code.
     pub fn wait(&mut self) -> Option<i32> {
-        self.child.wait().ok().and_then(|status| status.code())
+        let ended = self.child.wait();
+        running().retain(|&process| process != self.child.id());
+        ended.ok().and_then(|status| status.code())
     }
 
     /// Whether the platform's question is answered with 200 in time.
@@ -123,8 +145,9 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
+        // An error means that it was waited for already.
         let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.wait();
     }
 }
 
