Config stays old after the store lost an answer: one relay watches in short waits

Cause: a watch that waits and one whose answer was lost look the same, and a node counted as in touch until watch_wait (25 s) and a second were over. When all relays of a region lost the same answer, nobody in it noticed.

Change: the best ranked relay of the fleet, the sentinel, watches the operators' records for 1.7 s at a time, so that a lost answer shows after 2.7 s; the relays of all regions subscribe to it. A node that watches gives a waiting watch up when a peer knew more than the store had told, when it becomes the sentinel, or when plans cannot be read. A renewal without an answer is tried again soon instead of after a whole interval, and renewals are due every 42 s (lease 90 s).

--- a/src/membership/direct/announcer.rs
+++ b/src/membership/direct/announcer.rs
@@ -63,6 +63,7 @@
         }
         let mut next_sync_at = Instant::now();
         loop {
+            let mut is_renewed = true;
             tokio::select! {
                 Some(withdrawn) = leave_receiver.recv() => {
                     self.withdraw().await;
@@ -79,9 +80,9 @@
                     self.written = None;
                     self.pause = self.settings.backoff_min;
                 }
-                () = sleep_until(next_sync_at) => self.renew_lease().await,
+                () = sleep_until(next_sync_at) => is_renewed = self.renew_lease().await,
             }
-            next_sync_at = self.sync().await;
+            next_sync_at = self.sync(is_renewed).await;
         }
     }
 
@@ -101,31 +102,40 @@
     }
 
     /// Writes the announcement if needed; returns when to run again.
-    async fn sync(&mut self) -> Instant {
+    async fn sync(&mut self, is_renewed: bool) -> Instant {
         match self.write_if_needed().await {
+            Ok(()) if !is_renewed => Instant::now() + self.next_pause(),
             Ok(()) => {
                 self.pause = self.settings.backoff_min;
                 Instant::now() + self.settings.renewal_interval
             }
             Err(error) => {
                 log::debug!("cannot announce this node: {error}");
-                let pause = self.pause.mul_f64(self.rng.random_range(0.5..=1.0));
-                self.pause = (self.pause * 2).min(self.settings.backoff_max);
-                Instant::now() + pause
+                Instant::now() + self.next_pause()
             }
         }
     }
 
-    async fn renew_lease(&mut self) {
+    fn next_pause(&mut self) -> Duration {
+        let pause = self.pause.mul_f64(self.rng.random_range(0.5..=1.0));
+        self.pause = (self.pause * 2).min(self.settings.backoff_max);
+        pause
+    }
+
+    /// Returns whether the store answered; without an answer the renewal is soon tried again.
+    async fn renew_lease(&mut self) -> bool {
         let Some(lease) = self.lease else {
-            return;
+            return true;
         };
         match self.client.renew(lease).await {
             Ok(true) => {}
             Ok(false) => self.forget_lease(),
-            // The next write shows whether the store is available.
-            Err(error) => log::debug!("cannot renew the lease: {error}"),
+            Err(error) => {
+                log::debug!("cannot renew the lease: {error}");
+                return false;
+            }
         }
+        true
     }
 
     fn forget_lease(&mut self) {
--- a/src/membership/direct/follower.rs
+++ b/src/membership/direct/follower.rs
@@ -2,6 +2,9 @@
 //!
 //! Lists it once, then watches it, from where the news of relays have brought this node.
 //!
+//! A watch that waits is given up when there is a doubt whether it is still answered, and made
+//! again from the same position.
+//!
 //! After a failure it retries with exponential backoff and jitter. Announcements are listed once
 //! by every node, because its own may be among them.
 
@@ -10,7 +13,7 @@
 use rand_chacha::rand_core::SeedableRng;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::{Settings, Shared, WatchPacing};
 use crate::membership::InstanceId;
@@ -85,14 +88,18 @@
                 }
             }
             let started_at = self.shared.clock.now();
-            // A watch with the minimum wait detects immediately that the store is back.
-            let wait = if is_unavailable {
-                PROBE_WAIT
-            } else {
-                self.settings.watch_wait
-            };
+            let wait = self.wait(is_unavailable);
             let after = self.continue_from(position);
-            let result = self.list_or_watch(after, wait).await;
+            let mut doubts = self.shared.doubts();
+            let result = tokio::select! {
+                biased;
+                result = self.list_or_watch(after, wait) => result,
+                // The sender lives as long as the shared state.
+                _ = doubts.changed(), if after.is_some() && !is_unavailable => {
+                    self.pause_after_doubt().await;
+                    continue;
+                }
+            };
             if self.subject == Subject::Plans || result.is_ok() {
                 self.shared.set_store_available(result.is_ok());
             }
@@ -125,6 +132,25 @@
         }
     }
 
+    /// A watch with the minimum wait detects immediately that the store is back.
+    fn wait(&self, is_unavailable: bool) -> Duration {
+        if is_unavailable {
+            PROBE_WAIT
+        } else if self.subject == Subject::Plans && self.shared.is_sentinel() {
+            self.settings.sentinel_wait
+        } else {
+            self.settings.watch_wait
+        }
+    }
+
+    /// While plans cannot be read, a watch of announcements would not be answered either.
+    async fn pause_after_doubt(&self) {
+        if self.subject == Subject::Nodes {
+            let available = self.shared.wait_until_store_available();
+            let _ = timeout(self.settings.backoff_max, available).await;
+        }
+    }
+
     /// Relays find out that the store is back; the other nodes hear it from them.
     fn backoff_max(&self) -> Duration {
         if self.shared.is_relay() {
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -108,6 +108,9 @@
     /// Maximum duration of one watch. One without changes continues from the store's revision of
     /// that moment, so it may last longer than the store keeps history.
     pub watch_wait: Duration,
+    /// The same for the operators' records at the relay that is the sentinel. A watch whose answer
+    /// was lost is given up soon after this.
+    pub sentinel_wait: Duration,
     /// Pause between two watches of announcements, so that many changes at once
     /// take few calls. It doubles while changes keep coming.
     pub watch_pause_min: Duration,
@@ -131,8 +134,9 @@
             zone: String::new(),
             prefix: "monsooncove/node/".to_owned(),
             lease_ttl: Duration::from_secs(90),
-            renewal_interval: Duration::from_secs(30),
+            renewal_interval: Duration::from_secs(42),
             watch_wait: Duration::from_secs(25),
+            sentinel_wait: Duration::from_millis(1_700),
             watch_pause_min: Duration::from_millis(250),
             watch_pause_max: Duration::from_secs(4),
             backoff_min: Duration::from_millis(200),
--- a/src/membership/direct/relays.rs
+++ b/src/membership/direct/relays.rs
@@ -7,6 +7,10 @@
 //! relays only cost calls: a node may watch although others do, and a relay that does not watch
 //! tells so by its distance.
 //!
+//! A watch that waits shows no sign of life, and one whose answer was lost looks the same. One relay
+//! of the whole fleet, the sentinel, therefore watches the operators' records in short waits, and
+//! the relays of all regions subscribe to it.
+//!
 //! The distance of a node to the store is zero while it watches, else one more than the least
 //! distance among the relays that it hears. It grows without bound when no relay reaches the
 //! store; beyond a limit the node counts as detached and watches for itself.
@@ -45,6 +49,7 @@
     heard: BTreeMap<String, Heard>,
     lost: BTreeMap<String, Time>,
     is_relay: bool,
+    is_sentinel: bool,
     /// Other nodes of the region that are known and reachable.
     others: usize,
     sources: BTreeMap<String, SocketAddr>,
@@ -70,6 +75,7 @@
             heard: BTreeMap::new(),
             lost: BTreeMap::new(),
             is_relay: true,
+            is_sentinel: !zone.is_empty(),
             others: 0,
             sources: BTreeMap::new(),
             detached_since: Some(now),
@@ -85,23 +91,38 @@
     /// Ranks the known `nodes` anew. Lapsed nodes are not among them.
     pub fn update<'a>(&mut self, now: Time, nodes: impl Iterator<Item = &'a Instance>) {
         self.lost.retain(|_, at| now.since(*at) < LOST_TIME);
-        let mut zones: BTreeMap<&str, Vec<Ranked<'_>>> = BTreeMap::new();
+        let mut regions: BTreeMap<&str, BTreeMap<&str, Vec<Ranked<'_>>>> = BTreeMap::new();
         for node in nodes.filter(|node| self.may_relay(node)) {
-            let ranked = Ranked::new(&node.name, &self.region, Some(node.peer));
+            let ranked = Ranked::new(&node.name, &node.region, Some(node.peer));
+            let zones = regions.entry(&node.region).or_default();
             zones.entry(&node.zone).or_default().push(ranked);
         }
+        let zones = regions.entry(&self.region).or_default();
         self.others = zones.values().map(Vec::len).sum();
         let own = Ranked::new(&self.name, &self.region, None);
         zones.entry(&self.zone).or_default().push(own);
-        let relays = rank(zones.into_values());
+        let mut relays = Vec::new();
+        let mut remote_relays = Vec::new();
+        for (region, zones) in regions {
+            if region == self.region {
+                relays = rank(zones);
+            } else {
+                remote_relays.extend(rank(zones));
+            }
+        }
         let was_relay = self.is_relay;
         self.is_relay = relays.iter().any(|relay| relay.name == self.name);
         if was_relay && !self.is_relay {
             // From now on it takes some time to hear the relays.
             self.detached_since = Some(now);
         }
-        self.sources = relays
-            .into_iter()
+        let sentinel = sentinel(relays.iter().chain(&remote_relays));
+        self.is_sentinel = !self.zone.is_empty() && sentinel == self.name;
+        let remote_sentinel = remote_relays
+            .iter()
+            .filter(|relay| self.is_relay && relay.name == sentinel);
+        let sources = relays.iter().chain(remote_sentinel);
+        self.sources = sources
             .filter_map(|relay| Some((relay.name.to_owned(), relay.peer?)))
             .collect();
         let sources = &self.sources;
@@ -146,6 +167,12 @@
         self.is_relay
     }
 
+    /// Whether this node is the relay that watches in short waits.
+    #[must_use]
+    pub const fn is_sentinel(&self) -> bool {
+        self.is_sentinel
+    }
+
     /// Whether this node is to watch the operators' records.
     #[must_use]
     pub fn watches_plans(&self, now: Time) -> bool {
@@ -202,8 +229,7 @@
     }
 
     fn may_relay(&self, node: &Instance) -> bool {
-        node.region == self.region
-            && node.name != self.name
+        node.name != self.name
             && node.state == State::Present
             && !self.lost.contains_key(&node.name)
     }
@@ -229,10 +255,16 @@
     }
 }
 
+/// Name of the sentinel among all relays.
+fn sentinel<'a>(relays: impl Iterator<Item = &'a Ranked<'a>>) -> &'a str {
+    let first = relays.max_by_key(|relay| InstanceId::of(relay.name));
+    first.map_or("", |relay| relay.name)
+}
+
 /// The relays: the best of each zone, then the second of each zone, until there are enough.
-fn rank<'a>(zones: impl Iterator<Item = Vec<Ranked<'a>>>) -> Vec<Ranked<'a>> {
+fn rank<'a>(zones: BTreeMap<&str, Vec<Ranked<'a>>>) -> Vec<Ranked<'a>> {
     let mut ranked: Vec<(usize, Ranked<'a>)> = Vec::new();
-    for mut zone in zones {
+    for mut zone in zones.into_values() {
         zone.sort_by_key(|node| Reverse(node.score));
         zone.truncate(RELAYS_PER_REGION);
         ranked.extend(zone.into_iter().enumerate());
--- a/src/membership/direct/shared.rs
+++ b/src/membership/direct/shared.rs
@@ -35,6 +35,10 @@
     watches_plans: watch::Sender<bool>,
     /// Whether this node is to watch announcements.
     watches_nodes: watch::Sender<bool>,
+    /// Whether this node is the relay that watches in short waits.
+    is_sentinel: watch::Sender<bool>,
+    /// Counts the reasons to doubt that a waiting watch is still answered.
+    doubts: watch::Sender<u64>,
     /// What subscribers are told.
     progress: watch::Sender<Progress>,
     pub(super) name: String,
@@ -101,6 +105,8 @@
             store_unavailable_since: watch::Sender::new(Some(now)),
             watches_plans: watch::Sender::new(relays.watches_plans(now)),
             watches_nodes: watch::Sender::new(relays.watches_nodes(now)),
+            is_sentinel: watch::Sender::new(relays.is_sentinel()),
+            doubts: watch::Sender::default(),
             progress: watch::Sender::default(),
             state: Mutex::new(Inner {
                 plan_replica: PlanReplica::new(Arc::clone(source)),
@@ -163,6 +169,9 @@
         if set_if_changed(&self.watches_plans, watches) {
             log_role(watches, state.relays.is_relay());
         }
+        if set_if_changed(&self.is_sentinel, state.relays.is_sentinel()) {
+            self.doubt_watches();
+        }
         let reads_store = watches && self.store_unavailable_since.borrow().is_none();
         let progress = Progress {
             plan: state.plan_replica.version(),
@@ -180,6 +189,20 @@
         }
     }
 
+    /// Whether this node is the relay that watches in short waits.
+    pub(super) fn is_sentinel(&self) -> bool {
+        *self.is_sentinel.borrow()
+    }
+
+    /// Changes whenever a watch that waits is to be given up and made again.
+    pub(super) fn doubts(&self) -> watch::Receiver<u64> {
+        self.doubts.subscribe()
+    }
+
+    fn doubt_watches(&self) {
+        self.doubts.send_modify(|doubts| *doubts += 1);
+    }
+
     /// Whether other nodes of the region are known.
     pub(super) fn knows_others(&self) -> bool {
         self.lock().relays.knows_others()
@@ -261,6 +284,9 @@
             }
             changes
         });
+        if !current {
+            self.doubt_watches();
+        }
         self.refresh();
     }
 
@@ -296,6 +322,10 @@
             && version > state.plan_replica.version()
         {
             self.merge_records(&mut state, version, records);
+            if *self.watches_plans.borrow() {
+                // The store has not told this node in time.
+                self.doubt_watches();
+            }
         }
         if let Some(changes) = roster
             && state.roster.merge_from_peer(self.clock.now(), changes)
--- a/src/membership/direct/tests/fleet.rs
+++ b/src/membership/direct/tests/fleet.rs
@@ -166,6 +166,21 @@
         watching.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Nodes that watch the operators' records in short waits.
+    pub(super) fn sentinels(&self) -> Vec<String> {
+        let sentinels = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| node.membership.shared.is_sentinel());
+        sentinels.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Sets the number of the operators' plan, which is no call of a node and gets through also
+    /// while the store loses its answers to nodes.
+    pub(super) fn set_plan_as_operator(&self, number: u64) -> Version {
+        Version(self.store.put(PLAN_KEY, &number.to_string()).0)
+    }
+
     /// Sets the number of the operators' plan; returns its version.
     pub(super) async fn set_plan(&self, number: u64) -> Version {
         let written = self
--- a/src/membership/direct/tests/spread.rs
+++ b/src/membership/direct/tests/spread.rs
@@ -23,7 +23,7 @@
 async fn settled(size: usize) -> Fleet {
     let fleet = Fleet::start(size).await;
     seconds(5).await;
-    fleet.set_plan(1).await;
+    fleet.set_plan_as_operator(1);
     seconds(5).await;
     fleet
 }
@@ -32,7 +32,7 @@
     let fleet = settled(size).await;
     assert_eq!(fleet.without_view_of(size), []);
     for number in 2..4 {
-        let version = fleet.set_plan(number).await;
+        let version = fleet.set_plan_as_operator(number);
         sleep(SPREAD_LIMIT).await;
         assert_eq!(fleet.behind(version), [""; 0]);
         seconds(12).await;
@@ -101,3 +101,41 @@
     sleep(SPREAD_LIMIT).await;
     assert_eq!(fleet.behind(version), [""; 0]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn plan_whose_news_the_store_lost_is_in_force_soon_after() {
+    for size in [12, 67] {
+        let fleet = settled(size).await;
+        seconds(7).await;
+        fleet.store.silent(true);
+        let version = fleet.set_plan_as_operator(2);
+        sleep(Duration::from_millis(1_500)).await;
+        fleet.store.silent(false);
+        sleep(SPREAD_LIMIT).await;
+        assert_eq!(fleet.behind(version), [""; 0]);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn killed_sentinel_is_replaced_before_the_store_loses_news() {
+    let mut fleet = settled(67).await;
+    seconds(7).await;
+    for sentinel in fleet.sentinels() {
+        fleet.kill(&sentinel);
+    }
+    seconds(5).await;
+    fleet.store.silent(true);
+    let version = fleet.set_plan_as_operator(2);
+    sleep(Duration::from_millis(500)).await;
+    fleet.store.silent(false);
+    sleep(SPREAD_LIMIT).await;
+    assert_eq!(fleet.behind(version), [""; 0]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_node_of_a_fleet_is_the_sentinel() {
+    for size in [1, 12, 67] {
+        let fleet = settled(size).await;
+        assert_eq!(fleet.sentinels().len(), 1, "{size} nodes");
+    }
+}
--- a/src/standin/store/local.rs
+++ b/src/standin/store/local.rs
@@ -9,12 +9,16 @@
 use crate::clock::Time;
 use crate::store::protocol::Written;
 use crate::store::{
-    Client, Error, Lease, Listing, Outcome, Record, Result, Revision, Watched, Write,
+    Client, Error, Expect, Lease, Listing, Outcome, Record, Result, Revision, Watched, Write,
+    WriteId,
 };
 
 use super::Counters;
 use super::state::State;
 
+/// Time after which a call without an answer fails, beside the wait of a watch.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A store that is called directly. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Local {
@@ -33,6 +37,7 @@
     state: State,
     counters: Counters,
     down: bool,
+    silent: bool,
 }
 
 impl Default for Local {
@@ -59,6 +64,43 @@
         self.lock().down = down;
     }
 
+    /// Writes without a condition and without a lease; returns the revision.
+    #[must_use]
+    pub fn put(&self, key: &str, value: &str) -> Revision {
+        let mut inner = self.lock();
+        inner.state.write(Write {
+            key: key.to_owned(),
+            value: Some(value.to_owned()),
+            expect: Expect::Anything,
+            lease: None,
+            id: WriteId(0),
+        });
+        let revision = inner.state.revision();
+        drop(inner);
+        self.shared.changed.notify_waiters();
+        revision
+    }
+
+    /// Whether calls are carried out and their answers are lost, also those of calls that wait.
+    pub fn silent(&self, silent: bool) {
+        self.lock().silent = silent;
+    }
+
+    /// Fails after `limit` if the store has been silent before or after the call.
+    async fn answer<T>(&self, limit: Duration, call: impl Future<Output = Result<T>>) -> Result<T> {
+        let started = Instant::now();
+        let was_silent = self.lock().silent;
+        let answer = call.await;
+        if was_silent || self.lock().silent {
+            tokio::time::sleep_until(started + limit).await;
+            return Err(Error::Unreachable {
+                address: "local".to_owned(),
+                cause: "no answer in time".to_owned(),
+            });
+        }
+        answer
+    }
+
     fn now(&self) -> Time {
         Time::ZERO + self.shared.started.elapsed()
     }
@@ -97,11 +139,13 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing> {
-        self.call(|calls| &mut calls.lists, |state| state.list(prefix))
+        let call = async { self.call(|calls| &mut calls.lists, |state| state.list(prefix)) };
+        self.answer(CALL_TIMEOUT, call).await
     }
 
     async fn write(&self, write: Write) -> Result<Outcome> {
-        let written = self.call(|calls| &mut calls.writes, |state| state.write(write))?;
+        let call = async { self.call(|calls| &mut calls.writes, |state| state.write(write)) };
+        let written = self.answer(CALL_TIMEOUT, call).await?;
         Ok(match written {
             Written::Applied(revision) => Outcome::Applied(revision),
             Written::NotApplied(record) => Outcome::NotApplied(record),
@@ -115,7 +159,9 @@
 
     async fn renew(&self, lease: Lease) -> Result<bool> {
         let now = self.now();
-        self.call(|calls| &mut calls.renewals, |state| state.renew(now, lease))
+        let call =
+            async { self.call(|calls| &mut calls.renewals, |state| state.renew(now, lease)) };
+        self.answer(CALL_TIMEOUT, call).await
     }
 
     async fn revoke(&self, lease: Lease) -> Result<()> {
@@ -123,6 +169,18 @@
     }
 
     async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched> {
+        let call = self.wait_for_changes(prefix, after, wait);
+        self.answer(wait + CALL_TIMEOUT, call).await
+    }
+}
+
+impl Local {
+    async fn wait_for_changes(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Watched> {
         self.call(|calls| &mut calls.watches, |_| ())?;
         let end = Instant::now() + wait;
         loop {
