Gates that lag refuse a new route as stale, not as unknown

Callers got a 404 for a route that was there: the entry had the config that adds or moves it, and a gate without that config refused it as unknown-route, which the entry handed out as its own.

A gate whose plan is older than the entry's now refuses as stale-plan what depends on the plan, as it did already where its plan is newer. The call is tried elsewhere, else answered 503 at once. Both new cases gave 404 before (left: "404 not-run unknown-route").

--- a/src/backend/rule.rs
+++ b/src/backend/rule.rs
@@ -48,10 +48,8 @@
         if plan.version == Version::default() {
             return Err(Reason::NoPlan);
         }
-        self.rule_by(&snapshot, job).map_err(|reason| {
-            let stale = job.plan < plan.version && reason != Reason::Malformed;
-            if stale { Reason::StalePlan } else { reason }
-        })
+        self.rule_by(&snapshot, job)
+            .map_err(|reason| refusal_between(job.plan, plan.version, reason))
     }
 
     fn rule_by(&self, snapshot: &Arc<ClusterSnapshot>, job: &Job) -> Result<Rule, Reason> {
@@ -83,6 +81,22 @@
     }
 }
 
+/// Reason of a refusal by a gate with plan `own` of a call under the entry's plan.
+///
+/// What one of them does not know yet is no fault of the call.
+fn refusal_between(entry: Version, own: Version, reason: Reason) -> Reason {
+    let depends_on_plan = matches!(
+        reason,
+        Reason::UnknownRoute | Reason::UnknownService | Reason::UnknownTenant | Reason::Region
+    );
+    let is_stale = entry < own && reason != Reason::Malformed;
+    if is_stale || (entry > own && depends_on_plan) {
+        Reason::StalePlan
+    } else {
+        reason
+    }
+}
+
 /// The tenant that a call names.
 ///
 /// # Errors
--- a/src/entry/tests/outcomes.rs
+++ b/src/entry/tests/outcomes.rs
@@ -214,7 +214,31 @@
     assert_eq!(cluster.gate_nodes[0].recorder.count(refused), 1);
 }
 
+/// The entry knows a route that the first gates do not know yet.
+async fn route_is_new_to_gates(behind: usize, expected: &str) {
+    let server = BackendServer::start(&[OK]).await;
+    let second = BackendServer::start(&[OK]).await;
+    let cluster = Cluster::start(&[&server, &second]).await;
+    let mut old_plan = plan();
+    old_plan.services[0].routes.pop();
+    let mut new_plan = plan();
+    new_plan.version = Version(2);
+    cluster.apply_plan(&new_plan);
+    let nodes = std::iter::once(&cluster.front).chain(&cluster.gate_nodes);
+    let instances: Vec<_> = nodes.map(|node| &node.instance).collect();
+    for gate in cluster.gate_nodes.iter().take(behind) {
+        gate.apply_snapshot(old_plan.clone(), &instances);
+    }
+    for _ in 0..8 {
+        let response = cluster.call(Method::POST, "/orders", "").await;
+        assert_eq!(response.summary(), expected);
+    }
+}
+
 cases! {
+    new_route_is_served_by_the_gate_that_knows_it: run(route_is_new_to_gates(1, "200  "));
+    gates_that_lag_do_not_make_a_new_route_unknown:
+        run(route_is_new_to_gates(2, "503 not-run stale-plan"));
     response_arrives_over_a_link: run(response_over_a_link());
     response_arrives_without_a_link: run(response_without_a_link());
     stopped_backend_server_gives_not_run: run(backend_server_is_down());
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -17,7 +17,7 @@
     ZoneOut = 3,
     /// The backend server or its node is draining.
     Draining = 4,
-    /// The entry's plan is older than the gate's in a way that matters.
+    /// The plans of entry and gate differ in a way that matters.
     StalePlan = 5,
     /// The region is not a home region of the call.
     Region = 6,
