A planned stop leaves backend servers five sixths of the grace, and more

Cause: the node ended after 0.8 of the grace, a share of its own, where the rule counts work up to five sixths of it. Class: a bound of the users replaced by one of ours.

The node now finishes calls for 0.9 of the grace, and the time in which callers are still accepted follows from the grace too: with a grace of 2 s it was longer than the grace.

--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -46,7 +46,7 @@
 
 pub use bounds::Bounds;
 pub use reload::{Reload, Reloaded};
-pub use settings::{GRACE_SHARE, Settings};
+pub use settings::Settings;
 pub use word::{Host, Reply, Word};
 
 /// The translations that a platform brings.
--- a/src/node/hosted/settings.rs
+++ b/src/node/hosted/settings.rs
@@ -47,12 +47,26 @@
     pub tuning: Tuning,
 }
 
-/// Share of the grace that a node uses; the rest covers its end.
-pub const GRACE_SHARE: f64 = 0.8;
+/// Share of a platform's grace in which calls are finished; the rest covers the end of the process.
+const GRACE_SHARE: f64 = 0.9;
+/// Share of the grace after which callers are no longer accepted, at the latest.
+const LINGER_SHARE: f64 = 0.4;
 
 /// An address that nobody listens at.
 const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+impl Settings {
+    /// The same for a platform that ends the process `grace` after its order to stop.
+    #[must_use]
+    pub fn with_grace(self, grace: Duration) -> Self {
+        Self {
+            linger: self.linger.min(grace.mul_f64(LINGER_SHARE)),
+            grace: grace.mul_f64(GRACE_SHARE),
+            ..self
+        }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
@@ -66,7 +80,7 @@
             metrics_listen: None,
             log_level: log::LevelFilter::Info,
             linger: Duration::from_millis(2_300),
-            grace: Duration::from_millis(4_800),
+            grace: Duration::from_millis(5_400),
             seed: 0,
             registry: registry::Settings {
                 gate: gate(),
--- a/src/node/hosted/tests.rs
+++ b/src/node/hosted/tests.rs
@@ -1,5 +1,7 @@
 //! Budgets that follow from the bounds of a platform.
 
+use std::time::Duration;
+
 use super::{Bounds, Settings};
 
 fn within(checks_per_s: f64, retry_ratio: f64) -> Settings {
@@ -19,7 +21,19 @@
     settings.tuning.routing.retry_ratio + settings.tuning.routing.hedge_ratio
 }
 
+/// Share of a platform's grace in which backend servers may still be at work.
+const WORK_SHARE: f64 = 5.0 / 6.0;
+
 cases! {
+    stop_leaves_backend_servers_their_share_of_the_grace: {
+        for seconds in [2, 6, 10, 30] {
+            let grace = Duration::from_secs(seconds);
+            let settings = Settings::default().with_grace(grace);
+            assert!(settings.grace > grace.mul_f64(WORK_SHARE), "{seconds} s");
+            assert!(settings.grace < grace, "{seconds} s");
+            assert!(settings.linger < settings.grace / 2, "{seconds} s");
+        }
+    };
     checks_stay_below_their_bound: {
         for bound in [1.0, 5.0, 20.0, 60.0, 500.0] {
             let checks = checks(&within(bound, 0.2));
