--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -69,6 +69,7 @@
 use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::backend::Executor;
 use crate::call::{IdGenerator, Observer, SnapshotSource};
@@ -115,6 +116,7 @@
 /// The entry of one node.
 pub struct Entry {
     parts: Parts,
+    connections: TaskTracker,
     call_ages: Mutex<CallAgeEstimator>,
 }
 
@@ -132,10 +134,17 @@
     pub fn new(parts: Parts) -> Arc<Self> {
         Arc::new(Self {
             parts,
+            connections: TaskTracker::new(),
             call_ages: Mutex::default(),
         })
     }
 
+    /// Number of open connections of callers.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Estimates how long the caller has been waiting, including earlier attempts of its own.
     /// Zero unless [`Settings::estimates_call_age`] is set.
     fn call_age(&self, now: Time, route: &str, time_left: Duration) -> Duration {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -15,7 +15,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use crate::call::{Body, Event};
 use crate::plan::Limits;
@@ -36,7 +35,7 @@
 pub async fn serve(listener: TcpListener, entry: Arc<Entry>, shutdown: CancellationToken) {
     let settings = entry.parts.settings;
     let connection_permits = Arc::new(Semaphore::new(settings.max_connections));
-    let connections = TaskTracker::new();
+    let connections = entry.connections.clone();
     loop {
         let accepted = tokio::select! {
             () = shutdown.cancelled() => break,
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -224,7 +224,11 @@
     /// Callers are answered and sent elsewhere, then what is in hand is finished.
     async fn stop(self, settings: &Settings, orders: &mut Orders) -> Stop {
         let deadline = Instant::now() + settings.grace;
-        log::info!("stopping: {} calls in hand", self.path.in_hand());
+        log::info!(
+            "stopping: {} connections of callers are open, {} calls are at the gate",
+            self.path.entry.open_connections(),
+            self.path.in_hand(),
+        );
         self.open.store(false, Ordering::Relaxed);
         self.path.stopping.cancel();
         self.path.admission.drain();
@@ -236,12 +240,17 @@
         // A panic of the task has been printed already.
         let _ = leaving.await;
         let admission = Arc::clone(&self.path.admission);
+        let entry = Arc::clone(&self.path.entry);
         let finished = timeout_at(deadline, self.path.finish()).await;
         let stop = if finished.is_ok() {
             log::info!("stopped: nothing was cut");
             Stop::Graceful
         } else {
-            log::warn!("stopped: {} calls were cut", admission.in_hand());
+            log::warn!(
+                "stopped: {} connections of callers and {} calls at the gate were cut",
+                entry.open_connections(),
+                admission.in_hand(),
+            );
             Stop::Cut
         };
         log::logger().flush();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod report;
 mod stop;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::runtime::Builder;
@@ -94,7 +95,11 @@
     control: &Control,
     grace: Duration,
 ) -> Stop {
-    log::info!("stopping: {} calls in hand", running.path.in_hand());
+    log::info!(
+        "stopping: {} connections of callers are open, {} calls are at the gate",
+        running.path.entry.open_connections(),
+        running.path.in_hand(),
+    );
     running.path.admission.drain();
     let member = running.member.clone();
     let leaving = control.runtime().spawn(async move { member.leave().await });
@@ -103,6 +108,7 @@
     }
     tokio::time::sleep(LINGER).await;
     let admission = running.path.admission.clone();
+    let entry = Arc::clone(&running.path.entry);
     let mut finished = std::pin::pin!(timeout(grace, running.path.finish()));
     let mut warned = false;
     let stop = loop {
@@ -124,7 +130,11 @@
     };
     match stop {
         Stop::Graceful => log::info!("stopped: nothing was cut"),
-        Stop::Cut => log::warn!("stopped: {} calls were cut", admission.in_hand()),
+        Stop::Cut => log::warn!(
+            "stopped: {} connections of callers and {} calls at the gate were cut",
+            entry.open_connections(),
+            admission.in_hand(),
+        ),
     }
     stop
 }
--- a/src/node/path.rs
+++ b/src/node/path.rs
@@ -78,6 +78,8 @@
     pub stopping: CancellationToken,
     /// Cancelled when all that the node does ends.
     pub upkeep: CancellationToken,
+    /// Entry of callers.
+    pub entry: Arc<Entry>,
     serving: CancellationToken,
     servers: Vec<JoinHandle<()>>,
 }
@@ -143,13 +145,14 @@
         }
         tokio::spawn(Arc::clone(&blueprint.admission).run(upkeep.clone()));
         let servers = vec![
-            tokio::spawn(entry::serve(callers, entry, serving.clone())),
+            tokio::spawn(entry::serve(callers, Arc::clone(&entry), serving.clone())),
             tokio::spawn(peer::serve(peers, executor, tuning.peer, serving.clone())),
         ];
         Self {
             admission: blueprint.admission,
             stopping,
             upkeep,
+            entry,
             serving,
             servers,
         }
