Subscriptions of other nodes end when a node stops

A node whose gate held nothing stayed to the end of its grace and said that it had cut 0 calls: streams on which other nodes subscribe to load or progress have no end of their own, and the link server waited for them as for calls.

Subscriptions now end with the link's shutdown, calls are still finished. The new case failed before: the stop had not ended after 8 s.

--- a/src/entry/tests/drain.rs
+++ b/src/entry/tests/drain.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -6,6 +7,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, Empty, StreamBody};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::test_cluster::{
     BackendServer, Cluster, DESK, NodeSpec, OK, Step, collect_response, run, send_request,
@@ -14,6 +16,9 @@
 use crate::peer::{self, AttemptOutcome, AttemptTimeouts, Links, Upload};
 use crate::plan::Version;
 
+/// Longest time that a node without calls takes to stop.
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+
 const SLOW: Step = Step::SendAfter(
     Duration::from_millis(200),
     "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
@@ -129,6 +134,24 @@
     drop(open_link);
 }
 
+/// A subscription has no end of its own.
+async fn node_stops_with_a_subscriber() {
+    let server = BackendServer::start(&[OK]).await;
+    let mut cluster = Cluster::start(&[&server]).await;
+    let desk = cluster.gate_nodes.remove(0);
+    let links = Links::new(peer::Settings::default(), cluster.front.recorder.clone());
+    let (heard, address) = (Arc::new(Notify::new()), desk.instance.peer);
+    let hearing = Arc::clone(&heard);
+    let subscription = tokio::spawn(async move {
+        let on_update = move |_| hearing.notify_one();
+        links.subscribe_load(address, on_update).await
+    });
+    heard.notified().await;
+    let stopped = tokio::time::timeout(STOP_LIMIT, desk.stop()).await;
+    subscription.abort();
+    assert!(stopped.is_ok(), "the stop waits for a subscription");
+}
+
 /// A recall withdraws a call that is queued behind another one, but not a running call.
 async fn recall_result(queued: bool, expected: &str, runs: usize) {
     let server = BackendServer::start(&[SLOW]).await;
@@ -175,6 +198,7 @@
     running_call_finishes_during_shutdown: run(running_call_is_finished());
     long_upload_finishes_during_shutdown: run(long_upload_is_finished());
     shutdown_ends_although_a_peer_keeps_its_link_open: run(node_stops_with_an_open_link());
+    shutdown_ends_although_a_peer_subscribes: run(node_stops_with_a_subscriber());
     draining_gate_gets_no_calls: run(calls_avoid_a_draining_gate());
     shutdown_under_load_fails_no_call: run(node_stops_under_load());
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -99,6 +99,7 @@
                     executor,
                     active_calls,
                     settings,
+                    shutdown.clone(),
                     request,
                     respond,
                 ));
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 use crate::backend::{Executor, Job, Outcome};
 use crate::call::claim::{ClaimRequest, Digest};
@@ -36,11 +37,12 @@
 
 type BodyItem = Result<Frame<Bytes>, BodyError>;
 
-/// Serves one stream.
+/// Serves one stream. Subscriptions end on `shutdown`, calls do not.
 pub(super) async fn serve(
     executor: Arc<Executor>,
     calls: Arc<ActiveCalls>,
     settings: Settings,
+    shutdown: CancellationToken,
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
 ) {
@@ -54,12 +56,14 @@
         }
         Ok(Some(FirstMessage::LoadSubscribe)) => {
             // An error means that the entry has closed the stream.
-            let _ = load_subscription::send_load_reports(&executor, respond).await;
+            let sending = load_subscription::send_load_reports(&executor, respond);
+            let _ = shutdown.run_until_cancelled(sending).await;
             return;
         }
         Ok(Some(FirstMessage::ProgressSubscribe)) => {
             // An error means that the other node has closed the stream.
-            let _ = plan_records::send_progress(&executor, respond).await;
+            let sending = plan_records::send_progress(&executor, respond);
+            let _ = shutdown.run_until_cancelled(sending).await;
             return;
         }
         Ok(Some(FirstMessage::Recall(recall))) => {
