Calls that wait for a link share its failure and keep to their deadline

A call that waited now takes the failure of the attempt it waited for as its own, and opening a link ends with the call's time. Before, 16 calls made 16 attempts; now one.

--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use futures::FutureExt;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::call::{BodyError, Event, Loss, NotRun, Reason, UnknownOutcome};
 use crate::gate::LoadReport;
@@ -105,8 +105,11 @@
         upload.push_buffered(&mut frames);
         // Whether these frames are the last of the request.
         let end = upload.is_fully_buffered();
-        let Ok(stream) = self.open(address, frames.take(), end).await else {
-            return not_run(Reason::Unreachable, upload);
+        let opening = self.open(address, frames.take(), end);
+        let stream = match timeout(timeouts.time_left, opening).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) => return not_run(Reason::Unreachable, upload),
+            Err(_) => return not_run(Reason::Deadline, upload),
         };
         let Stream {
             request_frames,
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -131,10 +131,17 @@
                 Err(_) => peer.remove_link(link.number),
             }
         }
+        let failures = peer.failures.load(Ordering::Relaxed);
         let _connecting = peer.connect_lock.lock().await;
         let link = match peer.current_link() {
             Some(link) => link,
-            None => self.connect(peer).await?,
+            // The attempt that this call waited for is as good as one of its own.
+            None if peer.failures.load(Ordering::Relaxed) != failures => {
+                return Err(peer.link_down(&"the attempt before failed"));
+            }
+            None => self.connect(peer).await.inspect_err(|_| {
+                peer.failures.fetch_add(1, Ordering::Relaxed);
+            })?,
         };
         link.sender.ready().await.map_err(|error| {
             peer.remove_link(link.number);
@@ -233,6 +240,8 @@
     link: Mutex<Option<Link>>,
     connect_lock: tokio::sync::Mutex<()>,
     next_link_number: AtomicU64,
+    /// Number of attempts to connect that failed.
+    failures: AtomicU64,
     /// Counts the calls on the link by its strong references, of which one is this field.
     call_count: Arc<()>,
 }
@@ -254,6 +263,7 @@
             link: Mutex::new(None),
             connect_lock: tokio::sync::Mutex::new(()),
             next_link_number: AtomicU64::new(0),
+            failures: AtomicU64::new(0),
             call_count: Arc::new(()),
         }
     }
--- a/src/peer/tests/mod.rs
+++ b/src/peer/tests/mod.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Empty};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 use super::wire::{Encoder, Failed, Refused, RequestHead, ResponseHead, kind};
 use super::{AttemptOutcome, AttemptTimeouts, Links, Settings, Upload};
@@ -145,6 +146,14 @@
 async fn send_call_to(address: SocketAddr) -> Observed {
     let recorder = Arc::new(Recorder::default());
     let links = Links::new(Settings::default(), recorder.clone());
+    Observed {
+        recorder,
+        ..send_call_over(&links, address).await
+    }
+}
+
+async fn send_call_over(links: &Links, address: SocketAddr) -> Observed {
+    let recorder = Arc::new(Recorder::default());
     let request_head = RequestHead {
         call: CALL,
         method: Method::POST,
@@ -225,7 +234,44 @@
     closing.await.expect("no panic");
 }
 
+/// Calls to a node that accepts connections and never serves them.
+async fn calls_to_a_node_that_does_not_answer(connect_timeout: Duration) -> (Vec<String>, usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let accepting = tokio::spawn(async move {
+        let mut sockets = Vec::new();
+        while let Ok(Ok((socket, _))) = timeout(Duration::from_secs(1), listener.accept()).await {
+            sockets.push(socket);
+        }
+        sockets.len()
+    });
+    let settings = Settings {
+        connect_timeout,
+        ..Settings::default()
+    };
+    let links = Links::new(settings, Arc::new(Recorder::default()));
+    let calls = (0..16).map(|_| send_call_over(&links, address));
+    let observed = futures::future::join_all(calls).await;
+    let results = observed.into_iter().map(|observed| observed.result);
+    (results.collect(), accepting.await.expect("no panic"))
+}
+
+async fn calls_share_a_failed_attempt() {
+    let connect_timeout = Duration::from_millis(100);
+    let (results, attempts) = calls_to_a_node_that_does_not_answer(connect_timeout).await;
+    assert_eq!(results, vec!["not-run unreachable"; 16]);
+    assert_eq!(attempts, 1);
+}
+
+async fn attempt_ends_with_the_deadline() {
+    let connect_timeout = Duration::from_secs(60);
+    let (results, _) = calls_to_a_node_that_does_not_answer(connect_timeout).await;
+    assert_eq!(results, vec!["not-run deadline"; 16]);
+}
+
 cases! {
+    calls_that_wait_for_a_link_share_its_failure: run(calls_share_a_failed_attempt());
+    call_waits_for_a_link_no_longer_than_its_deadline: run(attempt_ends_with_the_deadline());
     unserved_listener_is_not_run: run(listener_without_server());
     link_broken_before_any_frame_is_unknown:
         run(assert_outcome(GateAction::Break(Bytes::new()), "unknown link-lost"));
