A farewell that a stopping node acknowledges binds its next process

The announcer goes on until the process ends, and a stop writes what has changed before its end. The new case failed before (departed: None). What stays open: a process that is killed between the acknowledgement and the write a few milliseconds later.

--- a/src/membership/direct/announcer.rs
+++ b/src/membership/direct/announcer.rs
@@ -1,5 +1,8 @@
 //! Keeps this node's announcement in the store, under a lease.
 //!
+//! After the withdrawal the announcer goes on until the end of the process, since its backend server
+//! may still say farewell.
+//!
 //! Each write expects the revision of the one before, so that a write that the
 //! store carries out late cannot undo a newer one.
 
@@ -24,6 +27,7 @@
     shared: Arc<Shared>,
     desired: watch::Receiver<Option<Announcement>>,
     lease: Option<Lease>,
+    is_leaving: bool,
     expect: Expect,
     written: Option<Announcement>,
     pause: Duration,
@@ -45,6 +49,7 @@
             shared,
             desired,
             lease: None,
+            is_leaving: false,
             expect: Expect::Absent,
             written: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -69,7 +74,6 @@
                     self.withdraw().await;
                     // Whoever waited may have given up.
                     let _ = withdrawn.send(());
-                    return;
                 }
                 changed = self.desired.changed() => {
                     if changed.is_err() {
@@ -144,9 +148,12 @@
     }
 
     async fn write_if_needed(&mut self) -> store::Result<()> {
-        let Some(desired) = self.desired.borrow_and_update().clone() else {
+        let Some(mut desired) = self.desired.borrow_and_update().clone() else {
             return Ok(());
         };
+        if self.is_leaving {
+            desired.instance.state = State::Leaving;
+        }
         if self.written.as_ref() == Some(&desired) {
             return Ok(());
         }
@@ -196,15 +203,8 @@
 
     /// Writes the state `Leaving`. Peers that miss it see the deletion once the lease lapses.
     async fn withdraw(&mut self) {
-        let desired = self.desired.borrow().clone();
-        let Some(mut announcement) = desired else {
-            return;
-        };
-        announcement.instance.state = State::Leaving;
-        if self.written.as_ref() == Some(&announcement) {
-            return;
-        }
-        if let Err(error) = self.write(announcement).await {
+        self.is_leaving = true;
+        if let Err(error) = self.write_if_needed().await {
             log::warn!("the announcement is not withdrawn: {error}; its lease will lapse");
         }
     }
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -214,7 +214,7 @@
         stored.map(|stored| stored.announcement)
     }
 
-    /// Withdraws the announcement.
+    /// Withdraws the announcement; again, writes what has changed in it since.
     pub async fn leave(&self) {
         let (done, withdrawn) = oneshot::channel();
         if self.leave_sender.send(done).await.is_err() {
--- a/src/membership/direct/tests/announcer.rs
+++ b/src/membership/direct/tests/announcer.rs
@@ -8,7 +8,9 @@
 
 use super::plan_replica::NumberSource;
 use crate::clock::Clock;
-use crate::membership::direct::{self, Announcement, Membership, PlanSource, Settings};
+use crate::membership::direct::{
+    self, Announcement, DepartedProcess, Membership, PlanSource, Settings,
+};
 use crate::membership::{Epoch, Instance, State};
 use crate::standin::store::Local;
 use crate::store::Client;
@@ -135,6 +137,30 @@
     assert!(announced(&store).await);
 }
 
+#[tokio::test(start_paused = true)]
+async fn farewell_during_the_stop_is_known_to_the_next_process() {
+    let store = Local::default();
+    let node = Node::start(&store);
+    node.announce("odber");
+    sleep_seconds(2).await;
+    node.member.leave().await;
+    let departed = DepartedProcess {
+        process: "i-1".into(),
+        born_ms: Some(1_000),
+    };
+    node.member.announce(Announcement {
+        instance: instance("odber"),
+        departed: Some(departed.clone()),
+    });
+    node.member.leave().await;
+    node.kill();
+    let again = Node::start(&store);
+    let previous = again.member.previous_announcement().await;
+    let previous = previous.expect("the announcement is still there");
+    assert_eq!(previous.departed, Some(departed));
+    assert_eq!(previous.instance.state, State::Leaving);
+}
+
 #[tokio::test(start_paused = true)]
 async fn steady_node_makes_few_calls() {
     let store = Local::default();
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -242,6 +242,8 @@
         let admission = Arc::clone(&self.path.admission);
         let entry = Arc::clone(&self.path.entry);
         let finished = timeout_at(deadline, self.path.finish()).await;
+        // A farewell that came meanwhile binds the next process too.
+        let _ = timeout_at(deadline, self.member.leave()).await;
         let stop = if finished.is_ok() {
             log::info!("stopped: nothing was cut");
             Stop::Graceful
