A late copy of a health answer is no answer to an order

Health questions went out on the connections of calls, and an answer without the request's id was taken for the answer to whatever request waited.

--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -60,8 +60,11 @@
     pub server: Arc<Current>,
     /// Its gate.
     pub admission: Arc<Admission>,
-    /// Connections to it.
+    /// Connections to it for calls.
     pub client: Arc<Http>,
+    /// Connections to its health endpoint. Answers there name no call, so that a late copy of one
+    /// must not meet a call.
+    pub health_client: Arc<Http>,
     /// Its headers.
     pub dialect: Arc<dyn Dialect>,
     /// Announcement of this node.
@@ -195,7 +198,7 @@
         let host = HeaderValue::from_str(&self.parts.address.to_string()).ok()?;
         request.headers_mut().insert(header::HOST, host);
         let asking = async {
-            let connection = self.parts.client.connect(false).await.ok()?;
+            let connection = self.parts.health_client.connect(false).await.ok()?;
             let response = connection.send(request).await.ok()?;
             let (head, body) = response.into_parts();
             body.collect().await.ok()?;
@@ -237,6 +240,7 @@
         let is_new = |old: &Known| !is_same(old, known.as_ref());
         if state.passed.as_ref().is_none_or(is_new) {
             parts.client.forget();
+            parts.health_client.forget();
             if let Some(known) = &known {
                 parts.admission.on_signal(Signal::Boot(fingerprint(known)));
             }
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -157,6 +157,7 @@
             server: Arc::clone(&server),
             admission: Arc::clone(&admission),
             client: Arc::clone(&client),
+            health_client: Arc::new(Http::new(settings.backend_server, settings.backend)),
             dialect: Arc::clone(&dialect),
             member: Arc::clone(&member),
             settings: settings.registry,
