--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use http::{HeaderValue, Request, header};
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -29,6 +29,9 @@
 
 pub use presence::{Known, Presence, Reaction, Report};
 
+/// Longest body of a health answer that is read, in bytes.
+const HEALTH_BODY_LIMIT_BYTES: usize = 64 * 1024;
+
 /// How a backend server is looked after.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -201,7 +204,10 @@
             let connection = self.parts.health_client.connect(false).await.ok()?;
             let response = connection.send(request).await.ok()?;
             let (head, body) = response.into_parts();
-            body.collect().await.ok()?;
+            Limited::new(body, HEALTH_BODY_LIMIT_BYTES)
+                .collect()
+                .await
+                .ok()?;
             Some(self.parts.dialect.read_health(&head))
         };
         timeout(self.parts.settings.probe_timeout, asking)
