A relay is the sentinel unless it hears a better one that watches the store

Cause: the sentinel followed from the roster alone. After restarts nodes knew different rosters, each took another node for the sentinel, and the one most of them named was no relay in its own eyes. Class: a role by rank that nobody takes where views differ.

A relay now subscribes to the best relay of the other regions and is the sentinel unless it hears a better ranked one at distance 0 within 2.5 s. Ranks are a total order, so the best of those that watch always takes the part, whatever the rosters say. Two cases of the ranking check it.

--- a/src/membership/direct/relays.rs
+++ b/src/membership/direct/relays.rs
@@ -8,8 +8,10 @@
 //! tells so by its distance.
 //!
 //! A watch that waits shows no sign of life, and one whose answer was lost looks the same. One relay
-//! of the whole fleet, the sentinel, therefore watches the operators' records in short waits, and
-//! the relays of all regions subscribe to it.
+//! of the whole fleet, the sentinel, therefore watches the operators' records in short waits. Every
+//! relay also subscribes to the best ranked relay of the other regions, and is the sentinel itself
+//! unless it hears a better ranked one that watches the store. Whatever the nodes know of each
+//! other, the best ranked of those that watch hears no better one.
 //!
 //! The distance of a node to the store is zero while it watches, else one more than the least
 //! distance among the relays that it hears. It grows without bound when no relay reaches the
@@ -39,6 +41,9 @@
 /// announcements, since many more may follow. It does not watch plans either if it knows none.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
+/// Time after it has settled in which a node hears the relays for the first time.
+const HEARING_TIME: Duration = Duration::from_millis(1_500);
+
 /// Place of this node, and what it knows of the relays.
 #[derive(Debug)]
 pub struct Relays {
@@ -49,7 +54,6 @@
     heard: BTreeMap<String, Heard>,
     lost: BTreeMap<String, Time>,
     is_relay: bool,
-    is_sentinel: bool,
     /// Other nodes of the region that are known and reachable.
     others: usize,
     sources: BTreeMap<String, SocketAddr>,
@@ -75,7 +79,6 @@
             heard: BTreeMap::new(),
             lost: BTreeMap::new(),
             is_relay: true,
-            is_sentinel: !zone.is_empty(),
             others: 0,
             sources: BTreeMap::new(),
             detached_since: Some(now),
@@ -116,12 +119,11 @@
             // From now on it takes some time to hear the relays.
             self.detached_since = Some(now);
         }
-        let sentinel = sentinel(relays.iter().chain(&remote_relays));
-        self.is_sentinel = !self.zone.is_empty() && sentinel == self.name;
-        let remote_sentinel = remote_relays
+        let best_remote = remote_relays
             .iter()
-            .filter(|relay| self.is_relay && relay.name == sentinel);
-        let sources = relays.iter().chain(remote_sentinel);
+            .max_by_key(|relay| InstanceId::of(relay.name))
+            .filter(|_| self.is_relay);
+        let sources = relays.iter().chain(best_remote);
         self.sources = sources
             .filter_map(|relay| Some((relay.name.to_owned(), relay.peer?)))
             .collect();
@@ -169,8 +171,15 @@
 
     /// Whether this node is the relay that watches in short waits.
     #[must_use]
-    pub const fn is_sentinel(&self) -> bool {
-        self.is_sentinel
+    pub fn is_sentinel(&self, now: Time) -> bool {
+        let own = InstanceId::of(&self.name);
+        let mut watching = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| heard.distance == 0 && now.since(heard.at) < NEWS_LIFETIME);
+        let hears_better = watching.any(|(name, _)| InstanceId::of(name) > own);
+        let may_hear = now >= self.settled_at + HEARING_TIME;
+        self.is_relay && !self.zone.is_empty() && may_hear && !hears_better
     }
 
     /// Whether this node is to watch the operators' records.
@@ -255,12 +264,6 @@
     }
 }
 
-/// Name of the sentinel among all relays.
-fn sentinel<'a>(relays: impl Iterator<Item = &'a Ranked<'a>>) -> &'a str {
-    let first = relays.max_by_key(|relay| InstanceId::of(relay.name));
-    first.map_or("", |relay| relay.name)
-}
-
 /// The relays: the best of each zone, then the second of each zone, until there are enough.
 fn rank<'a>(zones: BTreeMap<&str, Vec<Ranked<'a>>>) -> Vec<Ranked<'a>> {
     let mut ranked: Vec<(usize, Ranked<'a>)> = Vec::new();
--- a/src/membership/direct/shared.rs
+++ b/src/membership/direct/shared.rs
@@ -105,7 +105,7 @@
             store_unavailable_since: watch::Sender::new(Some(now)),
             watches_plans: watch::Sender::new(relays.watches_plans(now)),
             watches_nodes: watch::Sender::new(relays.watches_nodes(now)),
-            is_sentinel: watch::Sender::new(relays.is_sentinel()),
+            is_sentinel: watch::Sender::new(relays.is_sentinel(now)),
             doubts: watch::Sender::default(),
             progress: watch::Sender::default(),
             state: Mutex::new(Inner {
@@ -169,7 +169,8 @@
         if set_if_changed(&self.watches_plans, watches) {
             log_role(watches, state.relays.is_relay());
         }
-        if set_if_changed(&self.is_sentinel, state.relays.is_sentinel()) {
+        let is_sentinel = state.relays.is_sentinel(now);
+        if set_if_changed(&self.is_sentinel, is_sentinel) && is_sentinel {
             self.doubt_watches();
         }
         let reads_store = watches && self.store_unavailable_since.borrow().is_none();
--- a/src/membership/direct/tests/relays.rs
+++ b/src/membership/direct/tests/relays.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Time;
 use crate::membership::direct::Relays;
-use crate::membership::{Epoch, Instance, State};
+use crate::membership::{Epoch, Instance, InstanceId, State};
 
 const ZONES: [&str; 3] = ["kisumu-a", "kisumu-b", "kisumu-c"];
 /// Distance that a relay tells when no relay reaches the store.
@@ -140,7 +140,34 @@
     assert!(relays.watches_plans(longest));
 }
 
+/// The relay with the lower rank of two, and the name of the other.
+fn lower_relay() -> (Relays, String) {
+    let nodes = nodes(12);
+    let mut chosen = relays_of(&nodes);
+    chosen.sort_by_key(|&number| InstanceId::of(&node(number).name));
+    let relays = seen_by(chosen[0], Time::ZERO, &nodes);
+    (relays, node(chosen[1]).name)
+}
+
+/// Nodes may differ in whom they take for a relay.
+fn relay_that_does_not_watch_is_no_sentinel() {
+    let (mut relays, better) = lower_relay();
+    relays.on_heard(seconds(11), &better, 1);
+    assert!(relays.is_sentinel(seconds(11)));
+    relays.on_heard(seconds(12), &better, 0);
+    assert!(!relays.is_sentinel(seconds(12)));
+}
+
+fn silent_sentinel_is_replaced() {
+    let (mut relays, better) = lower_relay();
+    relays.on_heard(seconds(11), &better, 0);
+    assert!(!relays.is_sentinel(seconds(13)));
+    assert!(relays.is_sentinel(seconds(14)));
+}
+
 cases! {
+    relay_that_does_not_watch_the_store_is_no_sentinel: relay_that_does_not_watch_is_no_sentinel();
+    sentinel_that_falls_silent_is_replaced: silent_sentinel_is_replaced();
     relays_are_the_same_for_all_and_in_different_zones: all_nodes_agree();
     lost_relay_is_avoided_for_a_while: lost_relay_is_replaced_for_a_while();
     heard_relay_is_enough: node_that_hears_a_relay_does_not_watch();
