A farewell that the store cannot hear of binds the node's next process

Cause: an acknowledgement was held by the process that gave it and by nothing else until the store took the announcement. Farewells of a process that the node did not know were never announced at all.

Change: a departure is acknowledged once the store holds it or one of three witnesses, nodes of other zones and regions by rank, has confirmed it; without either the check-in is answered 503 and the server says it again. A process that starts asks the store and its witnesses before anything takes work. A witness that has run for less than 10 s proves nothing. Where nobody can tell, a process takes work once its health endpoint confirms it, or once it has reported for 5 s.

Weighed: a check-in alone never trusted while the health endpoint contradicts (keeps good servers out when it lies, brings leaving ones back when it lies the other way; kept as the last resort only); telling peers after the acknowledgement (a kill between both is lost).

--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -6,10 +6,12 @@
 //! reaches the process through this node after it.
 
 mod presence;
+mod recall;
 #[cfg(test)]
 mod tests;
 
 use std::fmt;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -19,18 +21,22 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::{Admission, BodyError, SnapshotSource};
+use crate::clock::Clock;
 use crate::dialect::{Dialect, HealthReport};
 use crate::gate::{self, Signal};
-use crate::membership::direct::{Announcement, DepartedProcess, Membership};
+use crate::membership::direct::{Announcement, DepartedProcess, Membership, Recollection};
 use crate::membership::{Instance, State};
 use crate::plan::{Cold, Plan};
 
 use super::{Client, Current, Http};
 
 pub use presence::{Known, Presence, Reaction, Report};
+pub use recall::Recall;
 
 /// Longest body of a health answer that is read, in bytes.
 const HEALTH_BODY_LIMIT_BYTES: usize = 64 * 1024;
+/// Time after which a node that starts no longer waits for the store to tell what it acknowledged.
+const RECALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How a backend server is looked after.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -74,6 +80,8 @@
     pub member: Arc<Membership>,
     /// How it is looked after.
     pub settings: Settings,
+    /// Clock of the node.
+    pub clock: Clock,
 }
 
 /// Looks after the backend server beside this node.
@@ -84,11 +92,24 @@
 
 struct Shelf {
     presence: Presence,
+    recall: Recall,
     /// What was passed on last.
     passed: Option<Known>,
+    /// Departure that was announced last.
+    announced_departure: Option<DepartedProcess>,
+    /// Last departure that the store or a witness keeps.
+    kept_departure: Option<DepartedProcess>,
     stopping: bool,
 }
 
+impl Shelf {
+    /// The process that is known, unless it may be one that has left.
+    fn known(&self) -> Option<&Known> {
+        let admitted = |known: &&Known| known.leaving || self.recall.admits(&known.process);
+        self.presence.known().filter(admitted)
+    }
+}
+
 impl fmt::Debug for Registry {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Registry").finish_non_exhaustive()
@@ -104,7 +125,10 @@
             parts,
             state: Mutex::new(Shelf {
                 presence,
+                recall: Recall::default(),
                 passed: None,
+                announced_departure: None,
+                kept_departure: None,
                 stopping: false,
             }),
         })
@@ -115,6 +139,8 @@
         let mut state = self.lock();
         let reaction = state.presence.report(report);
         if reaction == Reaction::Accepted {
+            let now = self.parts.clock.now();
+            state.recall.on_report(now, &report.process);
             self.settle(&mut state);
             self.parts
                 .admission
@@ -138,11 +164,34 @@
         reaction
     }
 
+    /// Keeps the acknowledged departures beyond this process. Returns whether somebody else has them
+    /// now, so that they may be acknowledged.
+    pub async fn keep_departures(&self) -> bool {
+        let (last, departed) = {
+            let state = self.lock();
+            let last = state.presence.last_departed().cloned();
+            if last == state.kept_departure {
+                return true;
+            }
+            (last, state.presence.departed().iter().cloned().collect())
+        };
+        let is_kept = self.parts.member.keep_departures(departed).await;
+        if is_kept {
+            self.lock().kept_departure = last;
+        } else {
+            log::warn!(
+                "neither the store nor another node hears that the backend server leaves; it is \
+                 not acknowledged before one does"
+            );
+        }
+        is_kept
+    }
+
     /// Announces that this node leaves, and takes no further report up.
     pub fn stop(&self) {
         let mut state = self.lock();
         state.stopping = true;
-        self.announce(&state);
+        self.announce(&mut state);
     }
 
     /// Puts the settings of the plan in force at the gate.
@@ -153,15 +202,34 @@
         }
     }
 
-    /// Asks the health endpoint until dropped.
+    /// Recalls what was acknowledged before the start, and asks the health endpoint until dropped.
     pub async fn run(self: Arc<Self>, snapshot_source: Arc<dyn SnapshotSource>) {
-        if let Some(previous) = self.parts.member.previous_announcement().await
-            && let Some(departed) = previous.departed
-        {
-            let mut state = self.lock();
+        tokio::join!(self.recollect(), self.probe_regularly(snapshot_source));
+    }
+
+    /// Without an answer of the store, the node goes on with what it does not know.
+    async fn recollect(&self) {
+        let mut recollection = pin!(self.parts.member.recollect());
+        if let Ok(recollection) = timeout(RECALL_TIMEOUT, &mut recollection).await {
+            return self.end_recall(recollection);
+        }
+        self.end_recall(Recollection::default());
+        self.end_recall(recollection.await);
+    }
+
+    fn end_recall(&self, recollection: Recollection) {
+        let mut state = self.lock();
+        for departed in recollection.departed {
             state.presence.recall(departed);
-            self.settle(&mut state);
         }
+        state.recall.end(recollection.is_complete);
+        if recollection.stored.is_some() {
+            state.announced_departure = recollection.stored;
+        }
+        self.settle(&mut state);
+    }
+
+    async fn probe_regularly(&self, snapshot_source: Arc<dyn SnapshotSource>) {
         loop {
             if self.parts.server.take_misdirected() {
                 let mut state = self.lock();
@@ -220,6 +288,7 @@
         let mut state = self.lock();
         let service = &self.parts.instance.service;
         let is_known = state.presence.probed(service, health);
+        state.recall.on_health(health);
         self.settle(&mut state);
         if !is_known {
             return;
@@ -238,8 +307,12 @@
 
     /// Passes on what has changed.
     fn settle(&self, state: &mut Shelf) {
-        let known = state.presence.known().cloned();
+        let known = state.known().cloned();
         if known == state.passed {
+            // A process that this node did not know may have left.
+            if state.presence.last_departed() != state.announced_departure.as_ref() {
+                self.announce(state);
+            }
             return;
         }
         let parts = &self.parts;
@@ -264,9 +337,11 @@
         self.announce(state);
     }
 
-    fn announce(&self, state: &Shelf) {
+    fn announce(&self, state: &mut Shelf) {
         let departed: Option<DepartedProcess> = state.presence.last_departed().cloned();
-        let server = state.presence.server().filter(|_| !state.stopping);
+        state.announced_departure.clone_from(&departed);
+        let takes_work = state.known().is_some() && !state.stopping;
+        let server = state.presence.server().filter(|_| takes_work);
         let mut instance = self.parts.instance.clone();
         match server {
             Some(server) => instance.service = server.service,
--- a/src/backend/registry/presence.rs
+++ b/src/backend/registry/presence.rs
@@ -4,16 +4,13 @@
 //! told from another by its name and the time of its start; its reports are
 //! ordered by their number. One that said that it leaves is never used again.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::backend::Server;
 use crate::dialect::HealthReport;
-use crate::membership::direct::DepartedProcess;
+use crate::membership::direct::{DepartedProcess, DepartedProcesses};
 
-/// Processes remembered as departed.
-const DEPARTED_MAX: usize = 16;
 /// Slots assumed of a process that was found by its health endpoint.
 const SLOTS_UNTOLD: u32 = 8;
 
@@ -68,7 +65,7 @@
     known: Option<Known>,
     /// Number of its last report.
     sequence: Option<u64>,
-    departed: VecDeque<DepartedProcess>,
+    departed: DepartedProcesses,
 }
 
 /// One process.
@@ -89,12 +86,12 @@
 impl Presence {
     /// Nothing is known of the backend server at `address`.
     #[must_use]
-    pub const fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
             known: None,
             sequence: None,
-            departed: VecDeque::new(),
+            departed: DepartedProcesses::default(),
         }
     }
 
@@ -117,18 +114,24 @@
     /// The process that departed last.
     #[must_use]
     pub fn last_departed(&self) -> Option<&DepartedProcess> {
-        self.departed.back()
+        self.departed.last()
+    }
+
+    /// All processes that are known to have departed.
+    #[must_use]
+    pub const fn departed(&self) -> &DepartedProcesses {
+        &self.departed
     }
 
     /// Takes over what this node acknowledged before it was started again.
     pub fn recall(&mut self, departed: DepartedProcess) {
         let is_known = self.known.as_ref().is_some_and(|known| {
-            known.process == departed.process && is_same_start(known.born_ms, &departed)
+            known.process == departed.process && departed.is_of(known.born_ms)
         });
         if is_known && let Some(known) = &mut self.known {
             known.leaving = true;
         }
-        self.remember(departed);
+        self.departed.remember(departed);
     }
 
     /// Takes in a report.
@@ -136,7 +139,7 @@
         if report.address != self.address {
             return Reaction::Foreign;
         }
-        if self.has_departed(&report.process, report.born_ms) {
+        if self.departed.contains(&report.process, report.born_ms) {
             return if report.leaving {
                 Reaction::Accepted
             } else {
@@ -155,7 +158,7 @@
             leaving: report.leaving,
         });
         if report.leaving {
-            self.remember(DepartedProcess {
+            self.departed.remember(DepartedProcess {
                 process: report.process.clone(),
                 born_ms: report.born_ms,
             });
@@ -175,7 +178,7 @@
         if let Some(known) = known {
             known.leaving = true;
         }
-        self.remember(DepartedProcess {
+        self.departed.remember(DepartedProcess {
             process: process.to_owned(),
             born_ms: Some(born_ms.or(known_born).unwrap_or(now_ms)),
         });
@@ -196,7 +199,7 @@
                 self.known = None;
                 false
             }
-            None if health.healthy && !self.has_departed(process, None) => {
+            None if health.healthy && !self.departed.contains(process, None) => {
                 self.known = Some(Known {
                     process: process.clone(),
                     born_ms: None,
@@ -231,33 +234,4 @@
         }
         self.sequence.is_none_or(|last| last < report.sequence)
     }
-
-    fn has_departed(&self, process: &str, born_ms: Option<u64>) -> bool {
-        self.departed
-            .iter()
-            .any(|departed| departed.process == process && is_same_start(born_ms, departed))
-    }
-
-    /// Word of an earlier start that comes late does not undo that of a later one.
-    fn remember(&mut self, mut departed: DepartedProcess) {
-        let same = |known: &DepartedProcess| known.process == departed.process;
-        if let Some(at) = self.departed.iter().position(same)
-            && let Some(known) = self.departed.remove(at)
-        {
-            let starts = known.born_ms.zip(departed.born_ms);
-            departed.born_ms = starts.map(|(known, new)| known.max(new));
-        }
-        if self.departed.len() == DEPARTED_MAX {
-            self.departed.pop_front();
-        }
-        self.departed.push_back(departed);
-    }
-}
-
-/// A name may be used again by a later start.
-fn is_same_start(born_ms: Option<u64>, departed: &DepartedProcess) -> bool {
-    match (born_ms, departed.born_ms) {
-        (Some(born), Some(departed)) => born <= departed,
-        _ => true,
-    }
 }
--- a/src/backend/registry/tests/mod.rs
+++ b/src/backend/registry/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Which process is taken for the backend server.
 
 mod orders;
+mod recall;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/membership/direct/announcer.rs
+++ b/src/membership/direct/announcer.rs
@@ -101,6 +101,8 @@
         self.expect = Expect::Revision(stored.revision);
         self.lease = stored.lease;
         if stored.lease.is_some() {
+            let departed = stored.announcement.departed.clone();
+            self.shared.set_stored_departure(departed);
             self.written = Some(stored.announcement);
         }
     }
@@ -179,6 +181,7 @@
         match self.client.write(write).await {
             Ok(Outcome::Applied(revision)) => {
                 self.expect = Expect::Revision(revision);
+                self.shared.set_stored_departure(desired.departed.clone());
                 self.written = Some(desired);
                 Ok(())
             }
--- a/src/membership/direct/gossip.rs
+++ b/src/membership/direct/gossip.rs
@@ -16,7 +16,8 @@
 
 use super::shared::Comparison;
 use super::{
-    ClusterSnapshot, GossipTransport, Handle, PeerVersions, PlanRecords, Progress, Shared,
+    ClusterSnapshot, Departures, GossipTransport, Handle, PeerVersions, PlanRecords, Progress,
+    Shared,
 };
 use crate::membership::SnapshotSource;
 use crate::plan::Version;
@@ -73,6 +74,10 @@
         self.shared.exchange_plan_records(theirs)
     }
 
+    fn exchange_departures(&self, theirs: &Departures) -> Departures {
+        self.shared.exchange_departures(theirs)
+    }
+
     fn progress(&self) -> Option<watch::Receiver<Progress>> {
         Some(self.shared.progress())
     }
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -14,12 +14,14 @@
 
 mod announcement;
 mod announcer;
+mod departures;
 mod follower;
 mod gossip;
 mod packed;
 mod peer_versions;
 mod plan_records;
 mod plan_replica;
+mod recollection;
 mod relays;
 mod roster;
 mod shared;
@@ -29,7 +31,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot, watch};
@@ -43,16 +45,18 @@
 use crate::task::spawn_until;
 
 pub use announcement::{Announcement, DepartedProcess};
+pub use departures::{DepartedProcesses, DepartureLog, Departures, Witnesses};
 pub use gossip::DirectSnapshotSource;
 pub use packed::{PackedRecords, pack, unpack};
 pub use peer_versions::PeerVersions;
 pub use plan_records::{GossipTransport, OnProgress, PlanRecords, Progress};
 pub use plan_replica::PlanReplica;
+pub use recollection::Recollection;
 pub use relays::Relays;
 pub use roster::{Roster, RosterChanges};
 
 use announcer::Announcer;
-use shared::Shared;
+use shared::{Shared, StoredAnnouncement};
 use watch_pacing::WatchPacing;
 
 /// Maximum wait for the withdrawal of the announcement.
@@ -147,6 +151,15 @@
     }
 }
 
+/// How other nodes are reached.
+struct Transport(Arc<dyn GossipTransport>);
+
+impl fmt::Debug for Transport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Transport")
+    }
+}
+
 /// Membership of one node.
 #[derive(Debug)]
 pub struct Membership {
@@ -156,6 +169,8 @@
     leave_sender: mpsc::Sender<oneshot::Sender<()>>,
     news_sender: mpsc::Sender<gossip::News>,
     news_receiver: Mutex<Option<mpsc::Receiver<gossip::News>>>,
+    /// Reaches witnesses, once gossip has started.
+    transport: OnceLock<Transport>,
     shutdown: CancellationToken,
 }
 
@@ -179,6 +194,8 @@
             .unwrap_or_else(PoisonError::into_inner)
             .take();
         if let Some(news_receiver) = news_receiver {
+            // Set once, like the receiver.
+            let _ = self.transport.set(Transport(Arc::clone(transport)));
             let exchanges = gossip::run(
                 Arc::clone(&self.shared),
                 self.handle.clone(),
@@ -272,6 +289,7 @@
         leave_sender,
         news_sender,
         news_receiver: Mutex::new(Some(news_receiver)),
+        transport: OnceLock::new(),
         shutdown: shutdown.clone(),
     }
 }
--- a/src/membership/direct/plan_records.rs
+++ b/src/membership/direct/plan_records.rs
@@ -4,7 +4,7 @@
 
 use futures::future::BoxFuture;
 
-use super::{PackedRecords, RosterChanges};
+use super::{Departures, PackedRecords, RosterChanges};
 use crate::plan::Version;
 
 /// What one node tells another of the operators' records and of the roster.
@@ -44,6 +44,14 @@
         records: PlanRecords,
     ) -> BoxFuture<'_, Option<PlanRecords>>;
 
+    /// Tells the node at `address` which departures this node acknowledged, and returns all that
+    /// it remembers of them; nothing when it does not say in time.
+    fn exchange_departures(
+        &self,
+        address: SocketAddr,
+        own: Departures,
+    ) -> BoxFuture<'_, Option<Departures>>;
+
     /// Passes the progress of the node at `address` to `on_progress` until the subscription
     /// breaks.
     fn subscribe(&self, address: SocketAddr, on_progress: OnProgress) -> BoxFuture<'_, ()>;
--- a/src/membership/direct/shared.rs
+++ b/src/membership/direct/shared.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    Announcement, PackedRecords, PeerVersions, PlanRecords, PlanReplica, PlanSource, Progress,
-    Relays, Roster, Settings,
+    Announcement, DepartedProcess, DepartureLog, Departures, PackedRecords, PeerVersions,
+    PlanRecords, PlanReplica, PlanSource, Progress, Relays, Roster, Settings, Witnesses,
 };
 use crate::clock::{Clock, Time};
 use crate::membership::handle::Publisher;
@@ -42,8 +42,13 @@
     /// What subscribers are told.
     progress: watch::Sender<Progress>,
     pub(super) name: String,
+    region: String,
+    zone: String,
+    started_at: Time,
     prefix: String,
     pub(super) previous_announcement: watch::Sender<PreviousAnnouncement>,
+    /// Departure that the announcement in the store tells.
+    stored_departure: watch::Sender<Option<DepartedProcess>>,
     /// Notified when this node's announcement is missing from the store.
     pub(super) announcement_lost: Notify,
     publisher: Publisher,
@@ -87,6 +92,7 @@
     packed_records: Option<(Version, PackedRecords)>,
     roster: Roster,
     relays: Relays,
+    departure_log: DepartureLog,
     own: Option<Instance>,
     plan: Arc<Plan>,
 }
@@ -113,10 +119,15 @@
                 packed_records: None,
                 roster: Roster::new(settings.lapsed_retention),
                 relays,
+                departure_log: DepartureLog::default(),
                 own: None,
                 plan: Arc::default(),
             }),
             name: settings.name.clone(),
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            started_at: now,
+            stored_departure: watch::Sender::default(),
             prefix: settings.prefix.clone(),
             previous_announcement: watch::Sender::new(PreviousAnnouncement::Unknown),
             announcement_lost: Notify::new(),
@@ -363,6 +374,49 @@
         }
     }
 
+    /// Remembers what another node acknowledged, and returns all that it is known to have.
+    pub(super) fn exchange_departures(&self, theirs: &Departures) -> Departures {
+        let processes = self.lock().departure_log.merge(theirs);
+        Departures {
+            instance: theirs.instance.clone(),
+            processes,
+            uptime: self.clock.now().since(self.started_at),
+        }
+    }
+
+    /// What this node tells its witnesses.
+    pub(super) fn own_departures(&self, processes: Vec<DepartedProcess>) -> Departures {
+        Departures {
+            instance: self.name.clone(),
+            processes,
+            uptime: self.clock.now().since(self.started_at),
+        }
+    }
+
+    /// Addresses of the first `count` witnesses of this node.
+    pub(super) fn witnesses(&self, count: usize) -> Vec<SocketAddr> {
+        let ranking = Witnesses {
+            name: &self.name,
+            region: &self.region,
+            zone: &self.zone,
+        };
+        ranking.choose(self.lock().roster.instances(), count)
+    }
+
+    /// Records the departure that the announcement in the store tells.
+    pub(super) fn set_stored_departure(&self, departed: Option<DepartedProcess>) {
+        set_if_changed(&self.stored_departure, departed);
+    }
+
+    /// Waits until the announcement in the store tells this departure.
+    pub(super) async fn wait_until_stored(&self, departed: &DepartedProcess) {
+        let mut stored = self.stored_departure.subscribe();
+        // The sender lives as long as this does.
+        let _ = stored
+            .wait_for(|stored| stored.as_ref() == Some(departed))
+            .await;
+    }
+
     fn merge_records(&self, state: &mut Inner, version: Version, packed: PackedRecords) {
         let Some(records) = packed.unpack() else {
             log::warn!(
--- /dev/null
+++ b/src/membership/direct/tests/departures.rs
@@ -0,0 +1,155 @@
+//! Acknowledged departures that outlive the process which acknowledged them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::fleet::{Fleet, instance, name};
+use crate::membership::Instance;
+use crate::membership::direct::{
+    DepartedProcess, DepartureLog, Departures, Recollection, Witnesses,
+};
+
+const SIZE: usize = 27;
+/// Until nodes know each other and count as witnesses.
+const SETTLED: Duration = Duration::from_secs(15);
+
+fn departed(process: &str, born_ms: u64) -> DepartedProcess {
+    DepartedProcess {
+        process: process.into(),
+        born_ms: Some(born_ms),
+    }
+}
+
+fn told(processes: &[DepartedProcess]) -> Departures {
+    Departures {
+        instance: name(0),
+        processes: processes.to_vec(),
+        ..Departures::default()
+    }
+}
+
+fn chosen(nodes: &[Instance], count: usize) -> Vec<Instance> {
+    let own = instance(0);
+    let ranking = Witnesses {
+        name: &own.name,
+        region: &own.region,
+        zone: &own.zone,
+    };
+    let addresses = ranking.choose(nodes.iter(), count);
+    let find = |address| nodes.iter().find(|node| node.peer == address).cloned();
+    addresses.into_iter().filter_map(find).collect()
+}
+
+fn nodes() -> Vec<Instance> {
+    (0..SIZE).map(instance).collect()
+}
+
+cases! {
+    witnesses_outlive_the_loss_of_the_zone_and_of_the_region: {
+        let own = instance(0);
+        let witnesses = chosen(&nodes(), 3);
+        assert_eq!(witnesses.len(), 3);
+        assert!(witnesses.iter().all(|node| node.zone != own.zone));
+        let regions: BTreeSet<_> = witnesses.iter().map(|node| node.region == own.region).collect();
+        assert_eq!(regions.len(), 2, "own and other regions");
+    };
+    witnesses_change_little_with_the_fleet: {
+        let all = nodes();
+        let first = chosen(&all, 3);
+        let rest: Vec<Instance> = all.into_iter().filter(|node| *node != first[0]).collect();
+        let kept = chosen(&rest, 3);
+        assert!(first[1..].iter().all(|node| kept.contains(node)));
+    };
+    nodes_of_the_own_zone_are_witnesses_if_there_are_no_others: {
+        let own = instance(0);
+        let zone: Vec<Instance> =
+            nodes().into_iter().filter(|node| node.zone == own.zone).collect();
+        assert_eq!(chosen(&zone, 3).len(), 2);
+    };
+    witness_remembers_what_it_was_told: {
+        let mut log = DepartureLog::default();
+        log.merge(&told(&[departed("a", 1), departed("b", 2)]));
+        assert_eq!(log.merge(&told(&[])), [departed("a", 1), departed("b", 2)]);
+    };
+    witness_forgets_no_later_start_for_an_earlier_one: {
+        let mut log = DepartureLog::default();
+        log.merge(&told(&[departed("a", 9)]));
+        assert_eq!(log.merge(&told(&[departed("a", 1)])), [departed("a", 9)]);
+    };
+}
+
+async fn settled() -> Fleet {
+    let fleet = Fleet::start(SIZE).await;
+    sleep(SETTLED).await;
+    fleet
+}
+
+/// Kills nodes, starts the first of them again and returns what it recalls.
+async fn recall_after_kill(fleet: &mut Fleet, killed: impl Iterator<Item = usize>) -> Recollection {
+    for number in killed {
+        fleet.kill(&name(number));
+    }
+    sleep(Duration::from_millis(300)).await;
+    fleet.store.silent(false);
+    fleet.start_node(0);
+    fleet.membership(0).recollect().await
+}
+
+/// Keeps a departure while the store is silent to all.
+async fn keep_in_silence(fleet: &Fleet) -> bool {
+    fleet.store.silent(true);
+    let processes = vec![departed("i-1", 1_000)];
+    fleet.membership(0).keep_departures(processes).await
+}
+
+#[tokio::test(start_paused = true)]
+async fn departure_is_recalled_after_a_kill_while_the_store_is_silent() {
+    let mut fleet = settled().await;
+    assert!(keep_in_silence(&fleet).await);
+    let recollection = recall_after_kill(&mut fleet, 0..1).await;
+    assert_eq!(recollection.departed, [departed("i-1", 1_000)]);
+    assert!(recollection.is_complete);
+}
+
+#[tokio::test(start_paused = true)]
+async fn departure_is_recalled_after_the_loss_of_a_region_while_the_store_is_silent() {
+    let mut fleet = settled().await;
+    assert!(keep_in_silence(&fleet).await);
+    let region = instance(0).region;
+    let lost = (0..SIZE).filter(|number| instance(*number).region == region);
+    let recollection = recall_after_kill(&mut fleet, lost).await;
+    assert_eq!(recollection.departed, [departed("i-1", 1_000)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn departure_that_nobody_hears_of_is_not_kept() {
+    let fleet = Fleet::start(1).await;
+    sleep(SETTLED).await;
+    assert!(!keep_in_silence(&fleet).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn node_does_not_trust_witnesses_that_have_just_started() {
+    let mut fleet = settled().await;
+    assert!(keep_in_silence(&fleet).await);
+    for number in 0..SIZE {
+        fleet.kill(&name(number));
+    }
+    fleet.store.silent(false);
+    for number in 0..SIZE {
+        fleet.start_node(number);
+    }
+    let recollection = fleet.membership(0).recollect().await;
+    assert!(!recollection.is_complete);
+}
+
+#[tokio::test(start_paused = true)]
+async fn node_that_was_never_announced_acknowledged_nothing() {
+    let mut fleet = settled().await;
+    fleet.start_node(SIZE);
+    let recollection = fleet.membership(SIZE).recollect().await;
+    assert_eq!(recollection.departed, []);
+    assert!(recollection.is_complete);
+}
--- a/src/membership/direct/tests/fleet.rs
+++ b/src/membership/direct/tests/fleet.rs
@@ -17,8 +17,8 @@
 use crate::membership::SnapshotSource;
 use crate::membership::direct::follower::Subject;
 use crate::membership::direct::{
-    self, Announcement, DirectSnapshotSource, GossipTransport, Membership, OnProgress, PlanRecords,
-    PlanSource, Settings,
+    self, Announcement, Departures, DirectSnapshotSource, GossipTransport, Membership, OnProgress,
+    PlanRecords, PlanSource, Settings,
 };
 use crate::membership::{Epoch, Handle, Instance, State};
 use crate::plan::Version;
@@ -77,6 +77,18 @@
         .boxed()
     }
 
+    fn exchange_departures(
+        &self,
+        address: SocketAddr,
+        own: Departures,
+    ) -> BoxFuture<'_, Option<Departures>> {
+        async move {
+            sleep(Duration::from_millis(1)).await;
+            Some(self.find(address)?.exchange_departures(&own))
+        }
+        .boxed()
+    }
+
     fn subscribe(&self, address: SocketAddr, on_progress: OnProgress) -> BoxFuture<'_, ()> {
         self.follow(address, on_progress).boxed()
     }
@@ -158,6 +170,10 @@
         self.kill(name);
     }
 
+    pub(super) fn membership(&self, number: usize) -> &Membership {
+        &self.nodes[&name(number)].membership
+    }
+
     /// Nodes that watch the store now, in a zone or everywhere.
     pub(super) fn watchers(&self) -> BTreeSet<String> {
         let nodes = self.nodes.iter();
@@ -237,7 +253,7 @@
     instance(number).name
 }
 
-fn instance(number: usize) -> Instance {
+pub(super) fn instance(number: usize) -> Instance {
     let zones = REGIONS.len() * ZONES_PER_REGION;
     let zone = number % zones;
     let region = REGIONS[zone / ZONES_PER_REGION];
--- a/src/membership/direct/tests/mod.rs
+++ b/src/membership/direct/tests/mod.rs
@@ -1,4 +1,5 @@
 mod announcer;
+mod departures;
 mod fleet;
 mod orders;
 mod packed;
--- a/src/membership/snapshot_source.rs
+++ b/src/membership/snapshot_source.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 
 use super::ClusterSnapshot;
-use super::direct::{PlanRecords, Progress};
+use super::direct::{Departures, PlanRecords, Progress};
 use crate::plan::Version;
 
 /// Source of the newest [`ClusterSnapshot`]; cheap to ask for every call.
@@ -27,6 +27,14 @@
         PlanRecords::default()
     }
 
+    /// Remembers the departures that another node acknowledged, and tells all that are known of it.
+    fn exchange_departures(&self, theirs: &Departures) -> Departures {
+        Departures {
+            instance: theirs.instance.clone(),
+            ..Departures::default()
+        }
+    }
+
     /// How much this node knows, for its subscribers; `None` if it has no subscribers.
     fn progress(&self) -> Option<watch::Receiver<Progress>> {
         None
--- a/src/node/hosted/endpoint.rs
+++ b/src/node/hosted/endpoint.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{Host, Reply, Word};
-use crate::backend::registry::Registry;
+use crate::backend::registry::{Reaction, Registry};
 use crate::membership::Handle;
 use crate::plan::Version;
 
@@ -36,12 +36,17 @@
 }
 
 impl Desk {
-    fn reply(&self, word: Word) -> Reply {
+    async fn reply(&self, word: Word) -> Reply {
         match word {
             Word::Ready => Reply::Ready(self.is_ready()),
+            Word::Report(report) if report.leaving => {
+                self.acknowledge_leaving(self.registry.report(&report))
+                    .await
+            }
             Word::Report(report) => Reply::Taken(self.registry.report(&report)),
             Word::Leave { process, born_ms } => {
-                Reply::Taken(self.registry.leave(&process, born_ms))
+                let reaction = self.registry.leave(&process, born_ms);
+                self.acknowledge_leaving(reaction).await
             }
             Word::Unreadable(cause) => {
                 log::warn!("a report cannot be read: {cause}; it changes nothing");
@@ -51,6 +56,14 @@
         }
     }
 
+    /// The acknowledgement binds the next process too, so it waits until another one keeps it.
+    async fn acknowledge_leaving(&self, reaction: Reaction) -> Reply {
+        if reaction == Reaction::Accepted && !self.registry.keep_departures().await {
+            return Reply::NotKept;
+        }
+        Reply::Taken(reaction)
+    }
+
     /// Without a plan, every call would be refused.
     fn is_ready(&self) -> bool {
         let has_plan = self.handle.snapshot().plan.version > Version::default();
@@ -62,7 +75,7 @@
         let reply = match Limited::new(body, BODY_LIMIT_BYTES).collect().await {
             Ok(body) => {
                 let request = Request::from_parts(head, body.to_bytes());
-                self.reply(self.host.read(&request))
+                self.reply(self.host.read(&request)).await
             }
             Err(error) => Reply::Unreadable(error.to_string()),
         };
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -161,6 +161,7 @@
             dialect: Arc::clone(&dialect),
             member: Arc::clone(&member),
             settings: settings.registry,
+            clock,
         });
         let links = Arc::new(Links::new(settings.tuning.peer, Arc::clone(&observer)));
         let transport: Arc<dyn GossipTransport> = links.clone();
--- a/src/peer/plan_records.rs
+++ b/src/peer/plan_records.rs
@@ -15,7 +15,8 @@
 
 use crate::backend::Executor;
 use crate::membership::direct::{
-    self, GossipTransport, OnProgress, PackedRecords, PlanRecords, Progress, RosterChanges,
+    self, Departures, GossipTransport, OnProgress, PackedRecords, PlanRecords, Progress,
+    RosterChanges,
 };
 
 use super::links::Links;
@@ -42,6 +43,14 @@
         exchange.map(|received| received.ok().flatten()).boxed()
     }
 
+    fn exchange_departures(
+        &self,
+        address: SocketAddr,
+        own: Departures,
+    ) -> BoxFuture<'_, Option<Departures>> {
+        async move { self.send_departures(address, &own).await }.boxed()
+    }
+
     fn subscribe(&self, address: SocketAddr, on_progress: OnProgress) -> BoxFuture<'_, ()> {
         self.receive_progress(address, on_progress).boxed()
     }
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -1,8 +1,9 @@
 //! Gate side of one stream.
 //!
 //! The first message decides what the stream is for: a call, a claim request, a recall, an
-//! exchange of plan records, or a subscription to loads or to the progress of a relay. A call is run by the executor, and its
-//! response, refusal or failure is sent back as frames.
+//! exchange of plan records or of departures, or a subscription to loads or to the progress of a
+//! relay. A call is run by the executor, and its response, refusal or failure is sent back as
+//! frames.
 
 use bytes::Bytes;
 use futures::FutureExt;
@@ -27,10 +28,10 @@
 use super::outbound::{Outbound, StreamBroken};
 use super::receiver::BodyReceiver;
 use super::wire::{
-    self, ClaimRequestMessage, ClaimResponseMessage, Encoder, Failed, RawFrame, Recall, Refused,
-    RequestHead, ResponseHead, Trailers, kind,
+    self, ClaimRequestMessage, ClaimResponseMessage, DeparturesMessage, Encoder, Failed, RawFrame,
+    Recall, Refused, RequestHead, ResponseHead, Trailers, kind,
 };
-use super::{Settings, load_subscription, plan_records};
+use super::{Settings, departures, load_subscription, plan_records};
 
 /// Buffer for a response head and a short body, which leave together.
 const RESPONSE_BUFFER_BYTES: usize = 4 * 1024;
@@ -54,6 +55,9 @@
         Ok(Some(FirstMessage::PlanRecords(plan_records))) => {
             return reply_to_plan_records(&executor, &plan_records, respond);
         }
+        Ok(Some(FirstMessage::Departures(message))) => {
+            return departures::reply(&executor, message, respond);
+        }
         Ok(Some(FirstMessage::LoadSubscribe)) => {
             // An error means that the entry has closed the stream.
             let sending = load_subscription::send_load_reports(&executor, respond);
@@ -96,6 +100,7 @@
     Claim(ClaimRequestMessage),
     Recall(Recall),
     PlanRecords(wire::PlanRecords),
+    Departures(DeparturesMessage),
     LoadSubscribe,
     ProgressSubscribe,
 }
@@ -120,6 +125,9 @@
         kind::PLAN_RECORDS => wire::decode_message(kind, &payload)
             .ok()
             .map(FirstMessage::PlanRecords),
+        kind::DEPARTURES => wire::decode_message(kind, &payload)
+            .ok()
+            .map(FirstMessage::Departures),
         _ => None,
     }
 }
--- a/src/peer/wire/message.rs
+++ b/src/peer/wire/message.rs
@@ -154,6 +154,17 @@
     pub distance: u32,
 }
 
+/// Departures that a node acknowledged, told to a witness or by one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DeparturesMessage {
+    /// The node that acknowledged them.
+    pub instance: String,
+    /// The processes that left, as compressed JSON; empty if there are none.
+    pub packed_processes: Bytes,
+    /// Time for which the sender has run.
+    pub uptime: Duration,
+}
+
 /// Load report pushed to a subscribed entry.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadUpdateMessage {
@@ -218,4 +229,5 @@
 counted_fields!(ClaimResponseMessage, 2: call, verdict);
 counted_fields!(PlanRecords, 5: version, records, packed_records, roster_revision, packed_roster);
 counted_fields!(ProgressMessage, 3: plan, roster_revision, distance);
+counted_fields!(DeparturesMessage, 3: instance, packed_processes, uptime);
 counted_fields!(LoadUpdateMessage, 2: load, plan);
--- a/src/peer/wire/mod.rs
+++ b/src/peer/wire/mod.rs
@@ -19,8 +19,8 @@
 pub use decoder::{Decoder, Malformed, RawFrame, decode_message};
 pub use encoder::Encoder;
 pub use message::{
-    ClaimRequestMessage, ClaimResponseMessage, Failed, LoadUpdateMessage, PlanRecords,
-    ProgressMessage, Recall, Refused, RequestHead, ResponseHead, Trailers,
+    ClaimRequestMessage, ClaimResponseMessage, DeparturesMessage, Failed, LoadUpdateMessage,
+    PlanRecords, ProgressMessage, Recall, Refused, RequestHead, ResponseHead, Trailers,
 };
 
 /// Version of the frames that this node sends.
@@ -71,6 +71,9 @@
     /// To a subscriber: how much the relay knows. Message
     /// [`ProgressMessage`](super::ProgressMessage).
     pub const PROGRESS: u8 = 16;
+    /// Both directions: departures that a node acknowledged, as the sender knows them. Message
+    /// [`DeparturesMessage`](super::DeparturesMessage).
+    pub const DEPARTURES: u8 = 17;
     /// To the entry: starts a response. Message [`ResponseHead`](super::ResponseHead).
     pub const RESPONSE_HEAD: u8 = 9;
 }
