Roster stays old after the store lost an answer: a relay that lags gives up its watch

Cause: a relay that watches took only a newer plan of another relay for a sign that the store had not told it something; a newer roster was ignored, since relays differ in it for a while by design.

Change: a relay that hears of a newer roster for longer than the longest pause between its watches and a second gives its waiting watches up.

--- a/src/membership/direct/shared.rs
+++ b/src/membership/direct/shared.rs
@@ -25,6 +25,9 @@
 /// Time between two removals of expired announcements.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time for which a relay may know a newer roster than this node, beyond the pause between watches.
+const ROSTER_LAG_LIMIT: Duration = Duration::from_secs(1);
+
 /// State shared by the tasks of one membership.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -44,6 +47,8 @@
     pub(super) name: String,
     region: String,
     zone: String,
+    /// Pause between two watches of announcements, at most.
+    watch_pause_max: Duration,
     started_at: Time,
     prefix: String,
     pub(super) previous_announcement: watch::Sender<PreviousAnnouncement>,
@@ -85,12 +90,20 @@
     AheadOfStore,
 }
 
+/// Revision of the roster that a relay told before the store did.
+#[derive(Clone, Copy, Debug)]
+struct RosterLag {
+    revision: u64,
+    since: Time,
+}
+
 #[derive(Debug)]
 struct Inner {
     plan_replica: PlanReplica,
     /// Records of this version, as peers get them.
     packed_records: Option<(Version, PackedRecords)>,
     roster: Roster,
+    roster_lag: Option<RosterLag>,
     relays: Relays,
     departure_log: DepartureLog,
     own: Option<Instance>,
@@ -118,6 +131,7 @@
                 plan_replica: PlanReplica::new(Arc::clone(source)),
                 packed_records: None,
                 roster: Roster::new(settings.lapsed_retention),
+                roster_lag: None,
                 relays,
                 departure_log: DepartureLog::default(),
                 own: None,
@@ -126,6 +140,7 @@
             name: settings.name.clone(),
             region: settings.region.clone(),
             zone: settings.zone.clone(),
+            watch_pause_max: settings.watch_pause_max,
             started_at: now,
             stored_departure: watch::Sender::default(),
             prefix: settings.prefix.clone(),
@@ -246,10 +261,12 @@
         let has_newer_roster = progress.roster_revision > state.roster.revision();
         if *self.watches_plans.borrow() {
             if has_newer_plan {
-                Comparison::AheadOfStore
-            } else {
-                Comparison::Even
+                return Comparison::AheadOfStore;
             }
+            if self.has_stuck_roster(&mut state, progress.roster_revision) {
+                self.doubt_watches();
+            }
+            Comparison::Even
         } else if has_newer_plan || has_newer_roster {
             Comparison::Ahead
         } else {
@@ -257,6 +274,27 @@
         }
     }
 
+    /// Whether a relay has known a newer roster for longer than the store takes to tell it.
+    fn has_stuck_roster(&self, state: &mut Inner, told: u64) -> bool {
+        let now = self.clock.now();
+        let own = state.roster.revision();
+        if state.roster_lag.is_some_and(|lag| lag.revision <= own) {
+            state.roster_lag = None;
+        }
+        if told <= own {
+            return false;
+        }
+        let lag = *state.roster_lag.get_or_insert(RosterLag {
+            revision: told,
+            since: now,
+        });
+        let is_stuck = now.since(lag.since) >= self.watch_pause_max + ROSTER_LAG_LIMIT;
+        if is_stuck {
+            state.roster_lag = None;
+        }
+        is_stuck
+    }
+
     /// Handles the end of the subscription to a relay, or an exchange that failed.
     pub(super) fn on_relay_lost(&self, relay: &str) {
         let now = self.clock.now();
--- a/src/membership/direct/tests/fleet.rs
+++ b/src/membership/direct/tests/fleet.rs
@@ -25,7 +25,7 @@
 use crate::standin::store::Local;
 use crate::store::{Client, Expect, Outcome, Write, WriteId};
 
-const REGIONS: [&str; 3] = ["kisumu", "kakamega", "nakuru"];
+pub(super) const REGIONS: [&str; 3] = ["kisumu", "kakamega", "nakuru"];
 const ZONES_PER_REGION: usize = 3;
 const PLAN_KEY: &str = "plan/text";
 /// Time between two pushes of progress without a change.
@@ -95,9 +95,10 @@
 }
 
 struct Node {
+    store: Local,
     membership: Membership,
     handle: Handle,
-    address: SocketAddr,
+    instance: Instance,
     kill: CancellationToken,
 }
 
@@ -135,8 +136,8 @@
         };
         let kill = CancellationToken::new();
         let source: Arc<dyn PlanSource> = Arc::new(NumberSource);
-        let membership =
-            direct::start(settings, self.store.clone(), &source, Clock::start(), &kill);
+        let store = self.store.for_caller();
+        let membership = direct::start(settings, store.clone(), &source, Clock::start(), &kill);
         let transport: Arc<dyn GossipTransport> = Arc::new(self.network.clone());
         membership.start_gossip(&transport);
         let source = Arc::new(membership.snapshot_source());
@@ -146,19 +147,28 @@
             departed: None,
         });
         let node = Node {
+            store,
             handle: membership.handle(),
             membership,
-            address: instance.peer,
+            instance: instance.clone(),
             kill,
         };
         self.nodes.insert(instance.name, node);
     }
 
+    /// Whether the store's answers to these nodes are lost.
+    pub(super) fn set_silent_to(&self, silent: bool, is_concerned: impl Fn(&Instance) -> bool) {
+        let nodes = self.nodes.values();
+        for node in nodes.filter(|node| is_concerned(&node.instance)) {
+            node.store.silent_to_caller(silent);
+        }
+    }
+
     /// Kills a node; its connections break.
     pub(super) fn kill(&mut self, name: &str) {
         if let Some(node) = self.nodes.remove(name) {
             node.kill.cancel();
-            self.network.nodes().remove(&node.address);
+            self.network.nodes().remove(&node.instance.peer);
         }
     }
 
--- a/src/membership/direct/tests/spread.rs
+++ b/src/membership/direct/tests/spread.rs
@@ -1,10 +1,15 @@
 //! How plan and roster reach every node of a fleet, and what it costs the store.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
 use tokio::time::sleep;
 
-use super::fleet::{Fleet, name};
+use super::fleet::{Fleet, REGIONS, instance, name};
+use crate::membership::Instance;
 
 /// Sizes of the users' deployments, and the size to build towards.
 const SIZES: [usize; 4] = [29, 67, 295, 850];
@@ -139,3 +144,74 @@
         assert_eq!(fleet.sentinels().len(), 1, "{size} nodes");
     }
 }
+
+/// Silent to some nodes for a while, in which the plan changes: soon after, all have it.
+async fn plan_reaches_nodes_that_were_turned_away(
+    silence_ms: u64,
+    is_concerned: impl Fn(&Instance) -> bool,
+) -> Vec<String> {
+    let fleet = settled(29).await;
+    seconds(7).await;
+    fleet.set_silent_to(true, &is_concerned);
+    sleep(Duration::from_millis(silence_ms / 2)).await;
+    let version = fleet.set_plan_as_operator(2);
+    sleep(Duration::from_millis(silence_ms / 2)).await;
+    fleet.set_silent_to(false, &is_concerned);
+    sleep(SPREAD_LIMIT).await;
+    fleet
+        .behind(version)
+        .into_iter()
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Lengths of the silence, shorter and longer than the waits of all watches.
+const SILENCES_MS: [u64; 5] = [400, 1_900, 3_700, 9_000, 29_000];
+
+#[tokio::test(start_paused = true)]
+async fn plan_reaches_each_region_that_the_store_turned_away() {
+    for silence_ms in SILENCES_MS {
+        for region in REGIONS {
+            let is_concerned = |node: &Instance| node.region == region;
+            let behind = plan_reaches_nodes_that_were_turned_away(silence_ms, is_concerned).await;
+            assert_eq!(behind, [""; 0], "{region}, {silence_ms} ms");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn plan_reaches_whichever_nodes_the_store_turned_away() {
+    for seed in 0..20 {
+        let share = [0.35, 0.9][seed % 2];
+        let silence_ms = SILENCES_MS[seed % SILENCES_MS.len()];
+        let mut rng = ChaCha8Rng::seed_from_u64(u64::try_from(seed).expect("a small number"));
+        let concerned: BTreeSet<String> = (0..29)
+            .filter(|_| rng.random_bool(share))
+            .map(name)
+            .collect();
+        let is_concerned = |node: &Instance| concerned.contains(&node.name);
+        let behind = plan_reaches_nodes_that_were_turned_away(silence_ms, is_concerned).await;
+        assert_eq!(behind, [""; 0], "seed {seed}, {silence_ms} ms");
+    }
+}
+
+/// Time in which a change of the fleet is known everywhere after a silence of the store.
+const ROSTER_LIMIT: Duration = Duration::from_secs(10);
+
+#[tokio::test(start_paused = true)]
+async fn node_that_leaves_while_the_store_turns_a_region_away_leaves_every_view() {
+    for region in REGIONS {
+        let mut fleet = settled(29).await;
+        seconds(7).await;
+        let is_concerned = |node: &Instance| node.region == region;
+        let leaving = (0..29).map(instance).find(|node| node.region != region);
+        let leaving = leaving.expect("a node of another region").name;
+        fleet.set_silent_to(true, is_concerned);
+        seconds(1).await;
+        fleet.stop(&leaving).await;
+        seconds(1).await;
+        fleet.set_silent_to(false, is_concerned);
+        sleep(ROSTER_LIMIT).await;
+        assert_eq!(fleet.with_present(&leaving), [""; 0], "{region}");
+    }
+}
--- a/src/standin/store/local.rs
+++ b/src/standin/store/local.rs
@@ -1,5 +1,6 @@
 //! The stand-in within the process of its caller, for tests in virtual time.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +24,8 @@
 #[derive(Clone, Debug)]
 pub struct Local {
     shared: Arc<Shared>,
+    /// Whether answers to the calls of this caller are lost.
+    is_silent: Arc<AtomicBool>,
 }
 
 #[derive(Debug)]
@@ -48,11 +51,30 @@
                 inner: Mutex::default(),
                 changed: Notify::new(),
             }),
+            is_silent: Arc::default(),
         }
     }
 }
 
 impl Local {
+    /// The same store for a caller of its own, whose answers may be lost.
+    #[must_use]
+    pub fn for_caller(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            is_silent: Arc::default(),
+        }
+    }
+
+    /// The same as [`Self::silent`], for the calls of this caller alone.
+    pub fn silent_to_caller(&self, silent: bool) {
+        self.is_silent.store(silent, Ordering::Relaxed);
+    }
+
+    fn loses_answers(&self) -> bool {
+        self.lock().silent || self.is_silent.load(Ordering::Relaxed)
+    }
+
     /// Calls so far.
     #[must_use]
     pub fn counters(&self) -> Counters {
@@ -89,9 +111,9 @@
     /// Fails after `limit` if the store has been silent before or after the call.
     async fn answer<T>(&self, limit: Duration, call: impl Future<Output = Result<T>>) -> Result<T> {
         let started = Instant::now();
-        let was_silent = self.lock().silent;
+        let was_silent = self.loses_answers();
         let answer = call.await;
-        if was_silent || self.lock().silent {
+        if was_silent || self.loses_answers() {
             tokio::time::sleep_until(started + limit).await;
             return Err(Error::Unreachable {
                 address: "local".to_owned(),
