A node that starts takes work with the first word of a witness and of the health endpoint

Cause: they waited for all five witnesses, some of them in their own stop or a region away, and a second for a store in trouble.

A witness's first reply is enough now if the health endpoint confirms the process; the other replies may still take it out. Without any word the health endpoint decides after 0.15 s.

--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -35,8 +35,9 @@
 
 /// Longest body of a health answer that is read, in bytes.
 const HEALTH_BODY_LIMIT_BYTES: usize = 64 * 1024;
-/// Time after which a node that starts no longer waits for the store to tell what it acknowledged.
-const RECALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which a node that starts waits to be told what it acknowledged, before it relies on the
+/// health endpoint.
+const RECALL_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// How a backend server is looked after.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -209,20 +210,21 @@
 
     /// Without an answer of the store, the node goes on with what it does not know.
     async fn recollect(&self) {
-        let mut recollection = pin!(self.parts.member.recollect());
+        let recollection = self.parts.member.recollect(|known| self.recall(known));
+        let mut recollection = pin!(recollection);
         if let Ok(recollection) = timeout(RECALL_TIMEOUT, &mut recollection).await {
-            return self.end_recall(recollection);
+            return self.recall(recollection);
         }
-        self.end_recall(Recollection::default());
-        self.end_recall(recollection.await);
+        self.recall(Recollection::default());
+        self.recall(recollection.await);
     }
 
-    fn end_recall(&self, recollection: Recollection) {
+    fn recall(&self, recollection: Recollection) {
         let mut state = self.lock();
         for departed in recollection.departed {
             state.presence.recall(departed);
         }
-        state.recall.end(recollection.is_complete);
+        state.recall.on_told(recollection.is_complete);
         if recollection.stored.is_some() {
             state.announced_departure = recollection.stored;
         }
--- a/src/backend/registry/presence.rs
+++ b/src/backend/registry/presence.rs
@@ -131,7 +131,9 @@
         if is_known && let Some(known) = &mut self.known {
             known.leaving = true;
         }
-        self.departed.remember(departed);
+        if !self.departed.contains(&departed.process, departed.born_ms) {
+            self.departed.remember(departed);
+        }
     }
 
     /// Takes in a report.
--- a/src/backend/registry/tests/recall.rs
+++ b/src/backend/registry/tests/recall.rs
@@ -5,9 +5,9 @@
 use crate::clock::Time;
 use crate::dialect::HealthReport;
 
-fn incomplete() -> Recall {
+fn partial() -> Recall {
     let mut recall = Recall::default();
-    recall.end(false);
+    recall.on_told(false);
     recall
 }
 
@@ -20,7 +20,7 @@
 
 /// After reports of process `a` at these times, in milliseconds.
 fn reported_at(times_ms: &[u64]) -> Recall {
-    let mut recall = incomplete();
+    let mut recall = partial();
     for &time in times_ms {
         recall.on_report(Time::from_millis(time), "a");
     }
@@ -36,7 +36,7 @@
     };
     everything_takes_work_once_it_knows_all: {
         let mut recall = Recall::default();
-        recall.end(true);
+        recall.on_told(true);
         assert!(recall.admits("a"));
     };
     late_report_alone_brings_nothing_back: assert!(!reported_at(&[0]).admits("a"));
@@ -59,20 +59,20 @@
         assert!(recall.admits("a"));
     };
     evidence_for_one_process_is_none_for_another: {
-        let mut recall = incomplete();
+        let mut recall = partial();
         recall.on_health(&health("a"));
         recall.on_report(Time::ZERO, "b");
         assert!(!recall.admits("b"));
     };
     node_that_is_told_later_knows_all: {
-        let mut recall = incomplete();
-        recall.end(true);
+        let mut recall = partial();
+        recall.on_told(true);
         assert!(recall.admits("a"));
     };
     confirmed_process_stays_confirmed_when_asking_ends_in_vain: {
-        let mut recall = incomplete();
+        let mut recall = partial();
         recall.on_health(&health("a"));
-        recall.end(false);
+        recall.on_told(false);
         assert!(recall.admits("a"));
     };
 }
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -56,7 +56,7 @@
 pub use roster::{Roster, RosterChanges};
 
 use announcer::Announcer;
-use shared::{Shared, StoredAnnouncement};
+use shared::Shared;
 use watch_pacing::WatchPacing;
 
 /// Maximum wait for the withdrawal of the announcement.
--- a/src/membership/direct/recollection.rs
+++ b/src/membership/direct/recollection.rs
@@ -8,13 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::{
-    DepartedProcess, Departures, GossipTransport, Membership, StoredAnnouncement, Transport,
-};
+use super::{DepartedProcess, Departures, GossipTransport, Membership, Transport};
 
 /// Witnesses that are told of a departure.
 const WITNESSES_TOLD: usize = 3;
@@ -80,28 +79,38 @@
     }
 
     /// What this node acknowledged before its restart. Waits until the announcements have been
-    /// listed from the store.
-    pub async fn recollect(&self) -> Recollection {
+    /// listed from the store; passes on what is known so far with each reply of a witness.
+    pub async fn recollect(&self, on_reply: impl Fn(Recollection)) -> Recollection {
         let Some(previous) = self.shared.previous_stored().await else {
             return Recollection {
                 is_complete: true,
                 ..Recollection::default()
             };
         };
-        let replies = self.ask_witnesses().await;
-        recollection_of(previous, &replies)
-    }
-
-    async fn ask_witnesses(&self) -> Vec<Option<Departures>> {
+        let stored = previous.announcement.departed;
         let Some(Transport(transport)) = self.transport.get() else {
-            return Vec::new();
+            return recollection_of(stored.as_ref(), &[]);
         };
         let own = self.shared.own_departures(Vec::new());
         let witnesses = self.shared.witnesses(WITNESSES_ASKED);
-        let asked = witnesses
-            .into_iter()
-            .map(|witness| ask(transport.as_ref(), witness, own.clone()));
-        join_all(asked).await
+        let mut replies = vec![None; witnesses.len()];
+        let asked = witnesses.into_iter().enumerate();
+        let mut asked: FuturesUnordered<_> = asked
+            .map(|(rank, witness)| {
+                let reply = ask(transport.as_ref(), witness, own.clone());
+                async move { (rank, reply.await) }
+            })
+            .collect();
+        while let Some((rank, reply)) = asked.next().await {
+            if reply.is_some() {
+                replies[rank] = reply;
+                on_reply(Recollection {
+                    is_complete: false,
+                    ..recollection_of(stored.as_ref(), &replies)
+                });
+            }
+        }
+        recollection_of(stored.as_ref(), &replies)
     }
 }
 
@@ -115,17 +124,19 @@
 }
 
 /// Joins what the store tells with what the witnesses do, `replies` being in the order of ranks.
-fn recollection_of(previous: StoredAnnouncement, replies: &[Option<Departures>]) -> Recollection {
-    let stored = previous.announcement.departed;
+fn recollection_of(
+    stored: Option<&DepartedProcess>,
+    replies: &[Option<Departures>],
+) -> Recollection {
     let told = replies.iter().flatten().flat_map(|reply| &reply.processes);
-    let mut departed: Vec<DepartedProcess> = told.chain(&stored).cloned().collect();
+    let mut departed: Vec<DepartedProcess> = told.chain(stored).cloned().collect();
     departed.sort_by_key(|departed| departed.born_ms);
     departed.dedup();
     let is_sound = |reply: &Departures| reply.uptime >= WITNESS_UPTIME_MIN;
     let mut told = replies.iter().take(WITNESSES_TOLD).flatten();
     Recollection {
         departed,
-        stored,
+        stored: stored.cloned(),
         is_complete: replies.is_empty() || told.any(is_sound),
     }
 }
--- a/src/membership/direct/tests/departures.rs
+++ b/src/membership/direct/tests/departures.rs
@@ -94,7 +94,7 @@
     sleep(Duration::from_millis(300)).await;
     fleet.store.silent(false);
     fleet.start_node(0);
-    fleet.membership(0).recollect().await
+    fleet.membership(0).recollect(|_| ()).await
 }
 
 /// Keeps a departure while the store is silent to all.
@@ -141,7 +141,7 @@
     for number in 0..SIZE {
         fleet.start_node(number);
     }
-    let recollection = fleet.membership(0).recollect().await;
+    let recollection = fleet.membership(0).recollect(|_| ()).await;
     assert!(!recollection.is_complete);
 }
 
@@ -149,7 +149,7 @@
 async fn node_that_was_never_announced_acknowledged_nothing() {
     let mut fleet = settled().await;
     fleet.start_node(SIZE);
-    let recollection = fleet.membership(SIZE).recollect().await;
+    let recollection = fleet.membership(SIZE).recollect(|_| ()).await;
     assert_eq!(recollection.departed, []);
     assert!(recollection.is_complete);
 }
