Roll-outs of a version with their own way back

Nothing read an operator's order to move a service to another version. Gates now count answers by route and report them to a coordinator, the first node by rendezvous rank, whose directives divide the calls between the versions. A sequential comparison with the old version rolls a bad one back; otherwise a cutover near the end of the period moves all calls, and the store records the end under a compare and swap that only one coordinator can win. A node without a fresh directive uses the old version.

--- a/src/backend/current.rs
+++ b/src/backend/current.rs
@@ -10,6 +10,8 @@
 pub struct Server {
     /// Service it belongs to.
     pub service: String,
+    /// Version of its software; empty if it did not say.
+    pub version: String,
     /// Name of the process, where it has one.
     pub process: Option<String>,
 }
@@ -27,6 +29,7 @@
     pub fn fixed(service: &str) -> Self {
         let server = Server {
             service: service.to_owned(),
+            version: String::new(),
             process: None,
         };
         Self {
--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -16,6 +16,7 @@
     request_id,
 };
 use crate::clock::{Clock, Time};
+use crate::coordination::{Desk, Local};
 use crate::dialect::{Dialect, DispatchContext, ResponseClass as Answer};
 use crate::gate::{Arrival, LoadReport};
 use crate::plan::Version;
@@ -47,6 +48,10 @@
     pub ids: Arc<IdGenerator>,
     /// Claims on idempotency keys that this node holds.
     pub claims: Claims,
+    /// Answers and directives of roll-outs.
+    pub local: Arc<Local>,
+    /// Answers the reports of other nodes.
+    pub desk: Arc<dyn Desk>,
 }
 
 impl fmt::Debug for Executor {
@@ -64,11 +69,16 @@
     pub fn load(&self) -> LoadReport {
         let load = self.admission.load();
         LoadReport {
-            accepting: load.accepting && self.server.get().is_some(),
+            accepting: load.accepting && self.server.get().is_some() && !self.is_closed(),
             ..load
         }
     }
 
+    /// Whether the version of the backend server takes no calls because of a roll-out.
+    pub(super) fn is_closed(&self) -> bool {
+        self.local.is_closed(self.clock.now())
+    }
+
     /// Version of the plan in force.
     #[must_use]
     pub fn plan(&self) -> Version {
@@ -255,9 +265,23 @@
             .dispatch(call, connection, request.map(|()| body()), time_left)
             .await;
         recording.end(outcome.end());
+        self.record_answer(rule, now, &outcome);
         outcome
     }
 
+    /// Counts the answer for a roll-out of the service.
+    fn record_answer(&self, rule: &Rule, sent_at: Time, outcome: &Outcome) {
+        let failed = match outcome {
+            Outcome::NotRun(_) => return,
+            Outcome::Unknown(_) => true,
+            Outcome::Answered(response) => response.status().is_server_error(),
+        };
+        let time = self.clock.now().since(sent_at);
+        let route = &rule.snapshot.plan.route(rule.route).name;
+        self.local
+            .record(route, failed, time, self.admission.is_cold());
+    }
+
     fn request(
         &self,
         job: Job,
--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::call::{Admission, BodyError, SnapshotSource};
 use crate::clock::Clock;
+use crate::coordination::Local;
 use crate::dialect::{Dialect, HealthReport};
 use crate::gate::{self, Signal};
 use crate::membership::direct::{Announcement, DepartedProcess, Membership, Recollection};
@@ -79,6 +80,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Announcement of this node.
     pub member: Arc<Membership>,
+    /// What roll-outs are told of it.
+    pub local: Arc<Local>,
     /// How it is looked after.
     pub settings: Settings,
     /// Clock of the node.
@@ -197,6 +200,7 @@
 
     /// Puts the settings of the plan in force at the gate.
     pub fn take_up(&self, plan: &Plan) {
+        self.parts.local.set_plan(self.parts.clock.now(), plan);
         let state = self.lock();
         if let Some(known) = state.presence.known() {
             self.configure(plan, known);
@@ -335,6 +339,11 @@
             None => parts.server.set(None),
         }
         log_change(state.passed.as_ref(), known.as_ref());
+        if let Some(known) = &known {
+            parts
+                .local
+                .set_backend_server(&known.service, &known.version);
+        }
         state.passed = known;
         self.announce(state);
     }
@@ -346,7 +355,10 @@
         let server = state.presence.server().filter(|_| takes_work);
         let mut instance = self.parts.instance.clone();
         match server {
-            Some(server) => instance.service = server.service,
+            Some(server) => {
+                instance.service = server.service;
+                instance.version = server.version;
+            }
             None => instance.state = State::Leaving,
         }
         self.parts
--- a/src/backend/registry/presence.rs
+++ b/src/backend/registry/presence.rs
@@ -25,6 +25,8 @@
     pub sequence: u64,
     /// Service it belongs to.
     pub service: String,
+    /// Version of its software; empty if it did not say.
+    pub version: String,
     /// Where it listens.
     pub address: SocketAddr,
     /// Calls it can run at the same time.
@@ -77,6 +79,8 @@
     pub born_ms: Option<u64>,
     /// Service it belongs to.
     pub service: String,
+    /// Version of its software; empty until it reports one.
+    pub version: String,
     /// Calls it can run at the same time.
     pub slots: u32,
     /// Whether it takes no new work.
@@ -107,6 +111,7 @@
         let known = self.known.as_ref().filter(|known| !known.leaving)?;
         Some(Server {
             service: known.service.clone(),
+            version: known.version.clone(),
             process: Some(known.process.clone()),
         })
     }
@@ -156,6 +161,7 @@
             process: report.process.clone(),
             born_ms: report.born_ms,
             service: report.service.clone(),
+            version: report.version.clone(),
             slots: report.slots,
             leaving: report.leaving,
         });
@@ -206,6 +212,7 @@
                     process: process.clone(),
                     born_ms: None,
                     service: service.to_owned(),
+                    version: String::new(),
                     slots: health.slots.unwrap_or(SLOTS_UNTOLD),
                     leaving: false,
                 });
--- a/src/backend/registry/tests/mod.rs
+++ b/src/backend/registry/tests/mod.rs
@@ -23,6 +23,7 @@
         born_ms: Some(born_ms),
         sequence,
         service: "odber".into(),
+        version: "v1".into(),
         address: address(),
         slots: 9,
         leaving: false,
--- a/src/backend/rule.rs
+++ b/src/backend/rule.rs
@@ -58,6 +58,9 @@
         if job.service != server.service {
             return Err(Reason::NoBackendServer);
         }
+        if self.is_closed() {
+            return Err(Reason::Draining);
+        }
         let service = plan.service_names.get(&job.service);
         let &service = service.ok_or(Reason::UnknownService)?;
         let host = hop::host(&job.headers);
--- a/src/bench/policy/entry.rs
+++ b/src/bench/policy/entry.rs
@@ -206,5 +206,6 @@
         objective: None,
         bytes: CALL_BYTES,
         tried,
+        idempotent: true,
     }
 }
--- a/src/bench/policy/fleet.rs
+++ b/src/bench/policy/fleet.rs
@@ -127,6 +127,7 @@
             peer: standin.address,
             control: standin.address,
             state: State::Present,
+            version: String::new(),
         });
     }
     view
--- a/src/bench/slopes/data/series.rs
+++ b/src/bench/slopes/data/series.rs
@@ -277,6 +277,7 @@
         peer: nowhere,
         control: nowhere,
         state: State::Present,
+        version: String::new(),
     }
 }
 
--- a/src/call/admission.rs
+++ b/src/call/admission.rs
@@ -161,6 +161,13 @@
         self.lock().gate.state()
     }
 
+    /// Whether the backend server is cold.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        let now = self.clock.now();
+        self.lock().gate.is_cold(now)
+    }
+
     /// Returns the number of running calls.
     #[must_use]
     pub fn in_hand(&self) -> u32 {
--- a/src/call/claim/tests.rs
+++ b/src/call/claim/tests.rs
@@ -24,6 +24,7 @@
         peer: address,
         control: address,
         state: State::Present,
+        version: String::new(),
     }
 }
 
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -289,6 +289,7 @@
             objective: routable.objective_deadline,
             bytes: upload.buffered_bytes() as u64,
             tried: progress.avoid,
+            idempotent: routable.idempotent,
         };
         // The load of the local backend server is reported to the router at each choice.
         let own_load = self.parts.executor.load();
--- a/src/entry/tests/test_cluster.rs
+++ b/src/entry/tests/test_cluster.rs
@@ -20,6 +20,7 @@
 use crate::call::claim::Claims;
 use crate::call::{Admission, Event, FixedSnapshotSource, IdGenerator, Observer, Span};
 use crate::clock::Clock;
+use crate::coordination::NoDesk;
 use crate::dialect::Native;
 use crate::entry::{self, Entry, Parts};
 use crate::gate::{self, Gate};
@@ -265,6 +266,8 @@
             observer: recorder.clone(),
             ids: ids.clone(),
             claims: Claims::default(),
+            local: Arc::default(),
+            desk: Arc::new(NoDesk),
         });
         let routing = routing::Settings::default();
         let router = Arc::new(Mutex::new(Router::new(routing, location.clone(), 1)));
@@ -294,6 +297,7 @@
             peer: address(&peer_listener),
             control: address(&peer_listener),
             state: State::Present,
+            version: String::new(),
         };
         let servers = vec![
             tokio::spawn(entry::serve(caller_listener, entry, shutdown.clone())),
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -223,6 +223,12 @@
         }
     }
 
+    /// Whether the backend server is cold, or was cold until it is known better.
+    #[must_use]
+    pub fn is_cold(&self, now: Time) -> bool {
+        self.reports_cold || now < self.cold_until
+    }
+
     /// Lifecycle state of the backend server.
     #[must_use]
     pub fn state(&self) -> State {
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -247,12 +247,11 @@
 /// Starts membership of this node; it runs until `shutdown`.
 pub fn start<C: Client>(
     settings: Settings,
-    client: C,
+    client: Arc<C>,
     source: &Arc<dyn PlanSource>,
     clock: Clock,
     shutdown: &CancellationToken,
 ) -> Membership {
-    let client = Arc::new(client);
     // Only the router detects dead links in this kind of membership; suspicions are dropped.
     let (suspicion_sender, _) = mpsc::channel(1);
     let (leave_sender, leave_receiver) = mpsc::channel(1);
--- a/src/membership/direct/tests/announcer.rs
+++ b/src/membership/direct/tests/announcer.rs
@@ -32,7 +32,13 @@
         };
         let kill = CancellationToken::new();
         let source: Arc<dyn PlanSource> = Arc::new(NumberSource);
-        let member = direct::start(settings, store.clone(), &source, Clock::start(), &kill);
+        let member = direct::start(
+            settings,
+            Arc::new(store.clone()),
+            &source,
+            Clock::start(),
+            &kill,
+        );
         Self { member, kill }
     }
 
@@ -60,6 +66,7 @@
         peer: address,
         control: address,
         state: State::Present,
+        version: String::new(),
     }
 }
 
--- a/src/membership/direct/tests/fleet.rs
+++ b/src/membership/direct/tests/fleet.rs
@@ -137,7 +137,13 @@
         let kill = CancellationToken::new();
         let source: Arc<dyn PlanSource> = Arc::new(NumberSource);
         let store = self.store.for_caller();
-        let membership = direct::start(settings, store.clone(), &source, Clock::start(), &kill);
+        let membership = direct::start(
+            settings,
+            Arc::new(store.clone()),
+            &source,
+            Clock::start(),
+            &kill,
+        );
         let transport: Arc<dyn GossipTransport> = Arc::new(self.network.clone());
         membership.start_gossip(&transport);
         let source = Arc::new(membership.snapshot_source());
@@ -280,5 +286,6 @@
         peer: address,
         control: address,
         state: State::Present,
+        version: String::new(),
     }
 }
--- a/src/membership/direct/tests/relays.rs
+++ b/src/membership/direct/tests/relays.rs
@@ -23,6 +23,7 @@
         peer: address,
         control: address,
         state: State::Present,
+        version: String::new(),
     }
 }
 
--- a/src/membership/direct/tests/roster.rs
+++ b/src/membership/direct/tests/roster.rs
@@ -21,6 +21,7 @@
         peer: address,
         control: address,
         state,
+        version: String::new(),
     }
 }
 
--- a/src/membership/handle.rs
+++ b/src/membership/handle.rs
@@ -28,6 +28,17 @@
         }
     }
 
+    /// A handle whose snapshot stays the same, for tests.
+    #[cfg(test)]
+    pub(crate) fn fixed(
+        snapshot: ClusterSnapshot,
+        change_watch: watch::Receiver<()>,
+        suspicion_sender: mpsc::Sender<String>,
+    ) -> Self {
+        let current = Arc::new(ArcSwap::from_pointee(snapshot));
+        Self::new(current, change_watch, suspicion_sender)
+    }
+
     /// The newest snapshot.
     #[must_use]
     pub fn snapshot(&self) -> Arc<ClusterSnapshot> {
--- a/src/membership/instance.rs
+++ b/src/membership/instance.rs
@@ -31,6 +31,9 @@
     pub control: SocketAddr,
     /// Whether it takes work.
     pub state: State,
+    /// Version of the backend server's software; empty if it did not say.
+    #[serde(default)]
+    pub version: String,
 }
 
 impl Instance {
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -80,6 +80,7 @@
         peer: unset_address,
         control: unset_address,
         state: State::Present,
+        version: String::new(),
     }
 }
 
--- a/src/membership/tests/fleet.rs
+++ b/src/membership/tests/fleet.rs
@@ -126,6 +126,7 @@
             peer: address,
             control: address,
             state: State::Present,
+            version: String::new(),
         };
         let settings = Settings {
             instance,
--- a/src/membership/tests/merging.rs
+++ b/src/membership/tests/merging.rs
@@ -27,6 +27,7 @@
             peer: address,
             control: address,
             state: State::Present,
+            version: String::new(),
         },
         standing,
     }
--- /dev/null
+++ b/src/node/coordinate.rs
@@ -0,0 +1,105 @@
+//! Reports of this node to the coordinator, and the directives that it returns.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::backend::Executor;
+use crate::clock::{Clock, Time};
+use crate::coordination::{Desk, Directives, Local, Report, Transport, ranked};
+use crate::membership::{ClusterSnapshot, Handle};
+use crate::routing::Router;
+
+/// Time between two reports in a small fleet.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// The same while a roll-out is about to change.
+const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Fleet beyond which reports become rarer, so that a coordinator hears no more of them.
+const NODES_AT_SHORTEST_INTERVAL: u32 = 128;
+/// Coordinators that are tried for one report.
+const COORDINATORS_TRIED: usize = 3;
+/// Time for which a coordinator that did not reply comes last.
+const SILENT_COORDINATOR_PAUSE: Duration = Duration::from_secs(2);
+
+/// Reports to coordinators.
+pub struct Reporter {
+    pub handle: Handle,
+    pub desk: Arc<dyn Desk>,
+    pub local: Arc<Local>,
+    pub transport: Arc<dyn Transport>,
+    pub router: Arc<Mutex<Router>>,
+    pub executor: Arc<Executor>,
+    pub clock: Clock,
+    pub instance: String,
+}
+
+impl Reporter {
+    /// Reports until dropped, while the plan asks for something to be coordinated.
+    pub async fn run(mut self) {
+        let mut silent_until: BTreeMap<String, Time> = BTreeMap::new();
+        loop {
+            let snapshot = self.handle.snapshot();
+            if snapshot.plan.rollouts.is_empty() {
+                self.handle.changed().await;
+                continue;
+            }
+            self.report(&snapshot, &mut silent_until).await;
+            sleep(self.report_interval(snapshot.view.len())).await;
+        }
+    }
+
+    async fn report(&self, snapshot: &ClusterSnapshot, silent_until: &mut BTreeMap<String, Time>) {
+        let now = self.clock.now();
+        silent_until.retain(|_, until| *until > now);
+        let mut coordinators = ranked(&snapshot.view, COORDINATORS_TRIED);
+        coordinators.sort_by_key(|(name, _)| silent_until.contains_key(name));
+        self.local.set_plan(now, &snapshot.plan);
+        for (name, address) in coordinators {
+            if let Some(directives) = self.send(&name, address).await {
+                self.apply(&directives);
+                return;
+            }
+            let until = self.clock.now() + SILENT_COORDINATOR_PAUSE;
+            silent_until.insert(name, until);
+        }
+    }
+
+    async fn send(&self, coordinator: &str, address: SocketAddr) -> Option<Directives> {
+        let load = self.executor.load();
+        let in_hand = load.in_hand + load.queued;
+        let report = Report {
+            instance: self.instance.clone(),
+            version: self
+                .local
+                .version_report(self.clock.now(), load.accepting, in_hand),
+        };
+        if coordinator == self.instance {
+            return Some(self.desk.on_report(report));
+        }
+        self.transport.report(address, report).await
+    }
+
+    /// Reports become rarer as the fleet grows, so that a coordinator hears a bounded number a
+    /// second. They come sooner around a cutover, which lasts a second or so.
+    fn report_interval(&self, nodes: usize) -> Duration {
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        let interval = if self.local.is_urgent() {
+            URGENT_REPORT_INTERVAL
+        } else {
+            REPORT_INTERVAL
+        };
+        interval * nodes.div_ceil(NODES_AT_SHORTEST_INTERVAL).max(1)
+    }
+
+    fn apply(&self, directives: &Directives) {
+        let now = self.clock.now();
+        self.local.on_directives(now, directives);
+        let mut router = self.router.lock().unwrap_or_else(PoisonError::into_inner);
+        for directive in &directives.rollouts {
+            router.on_rollout(now, directive);
+        }
+    }
+}
--- a/src/node/hosted/bounds.rs
+++ b/src/node/hosted/bounds.rs
@@ -20,6 +20,10 @@
     pub checks_per_s: f64,
     /// Calls of one service beyond the first, for each call of a caller.
     pub retry_ratio: f64,
+    /// Largest share of a service's calls, 0 to 1, for a version that may be bad.
+    pub exposure_share: f64,
+    /// Calls that such a version may get in addition.
+    pub exposure_slack: u32,
 }
 
 impl Default for Bounds {
@@ -27,6 +31,8 @@
         Self {
             checks_per_s: 60.0,
             retry_ratio: 0.2,
+            exposure_share: 0.1,
+            exposure_slack: 50,
         }
     }
 }
@@ -45,6 +51,9 @@
         let extra = bounds.retry_ratio.max(0.0) * RETRY_SHARE;
         routing.retry_ratio = routing.retry_ratio.min(extra);
         routing.hedge_ratio = routing.hedge_ratio.min(extra);
+        let rollout = &mut self.coordination.rollout;
+        rollout.exposure_share = bounds.exposure_share.clamp(0.0, 1.0);
+        rollout.exposure_slack = bounds.exposure_slack;
         self
     }
 }
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -13,11 +13,13 @@
 mod tests;
 mod word;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use tokio::runtime::Builder;
 use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use super::Stop;
 use super::control::Reading;
@@ -30,6 +32,7 @@
 use crate::backend::{Current, Http};
 use crate::call::{Admission, IdGenerator, Observer, SnapshotSource};
 use crate::clock::Clock;
+use crate::coordination::{Coordinator, Local, StatusFormat, StatusStore};
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use crate::membership::direct::{self, GossipTransport, Membership, PlanSource};
@@ -56,6 +59,8 @@
     pub store: C,
     /// The operators' records.
     pub source: Arc<dyn PlanSource>,
+    /// Status of roll-outs in the store.
+    pub status: Arc<dyn StatusFormat>,
     /// Headers of callers and backend servers.
     pub dialect: Arc<dyn Dialect>,
     /// Words beside calls.
@@ -136,17 +141,18 @@
         let reports = bind(settings.report_listen).await?;
         let ready = bind(settings.ready_listen).await?;
         let clock = Clock::start();
-        let upkeep = tokio_util::sync::CancellationToken::new();
+        let upkeep = CancellationToken::new();
         let Platform {
             store,
             source,
+            status,
             dialect,
             host,
             reload,
         } = platform;
-        let member = direct::start(settings.membership.clone(), store, &source, clock, &upkeep);
-        let member = Arc::new(member);
+        let (member, coordinator) = join(settings, store, &source, status, clock, &upkeep);
         let handle = member.handle();
+        let local = Arc::new(Local::default());
         let gate = Gate::new(settings.registry.gate, clock.now());
         let admission = Admission::new(gate, clock);
         let server = Arc::new(Current::default());
@@ -160,6 +166,7 @@
             health_client: Arc::new(Http::new(settings.backend_server, settings.backend)),
             dialect: Arc::clone(&dialect),
             member: Arc::clone(&member),
+            local: Arc::clone(&local),
             settings: settings.registry,
             clock,
         });
@@ -179,6 +186,8 @@
                 server,
                 client,
                 dialect,
+                local,
+                desk: coordinator,
                 configure: Box::new(move |plan| configured.take_up(plan)),
                 clock,
                 observer,
@@ -200,10 +209,7 @@
         spawn_until(&path.upkeep, endpoint::serve(reports, Arc::clone(&desk)));
         spawn_until(&path.upkeep, endpoint::serve(ready, desk));
         if let Some(address) = settings.metrics_listen {
-            match bind(address).await {
-                Ok(listener) => spawn_until(&path.upkeep, scrape::serve(listener, scrape)),
-                Err(error) => log::warn!("metrics are not offered: {error}"),
-            }
+            offer_metrics(address, scrape, &path.upkeep).await;
         }
         let reporter = Reporter {
             handle: handle.clone(),
@@ -262,6 +268,30 @@
     }
 }
 
+async fn offer_metrics(address: SocketAddr, scrape: Arc<Scrape>, upkeep: &CancellationToken) {
+    match bind(address).await {
+        Ok(listener) => spawn_until(upkeep, scrape::serve(listener, scrape)),
+        Err(error) => log::warn!("metrics are not offered: {error}"),
+    }
+}
+
+/// Starts membership, and the coordinator that this node may become.
+fn join<C: Client>(
+    settings: &Settings,
+    store: C,
+    source: &Arc<dyn PlanSource>,
+    format: Arc<dyn StatusFormat>,
+    clock: Clock,
+    upkeep: &CancellationToken,
+) -> (Arc<Membership>, Arc<Coordinator>) {
+    let client = Arc::new(store);
+    let membership = settings.membership.clone();
+    let member = direct::start(membership, Arc::clone(&client), source, clock, upkeep);
+    let status = Arc::new(StatusStore { client, format });
+    let coordinator = Coordinator::new(settings.coordination, clock, member.handle(), status);
+    (Arc::new(member), coordinator)
+}
+
 fn instance(settings: &Settings) -> Instance {
     Instance {
         name: settings.location.instance.clone(),
@@ -273,5 +303,6 @@
         peer: settings.peer_listen,
         control: settings.report_listen,
         state: State::Present,
+        version: String::new(),
     }
 }
--- a/src/node/hosted/settings.rs
+++ b/src/node/hosted/settings.rs
@@ -7,7 +7,7 @@
 use crate::membership::direct;
 use crate::node::Tuning;
 use crate::routing::{self, Location};
-use crate::{backend, entry, gate, peer};
+use crate::{backend, coordination, entry, gate, peer};
 
 /// What such a node is told at its start.
 #[derive(Clone, Debug)]
@@ -43,6 +43,8 @@
     pub backend: backend::Settings,
     /// How the node follows the store.
     pub membership: direct::Settings,
+    /// Settings of what nodes coordinate.
+    pub coordination: coordination::Settings,
     /// Settings of the slices on the data path.
     pub tuning: Tuning,
 }
@@ -93,6 +95,7 @@
                 ..backend::Settings::default()
             },
             membership: direct::Settings::default(),
+            coordination: coordination::Settings::default(),
             tuning: tuning(),
         }
     }
--- a/src/node/hosted/tests.rs
+++ b/src/node/hosted/tests.rs
@@ -8,6 +8,7 @@
     Settings::default().within(Bounds {
         checks_per_s,
         retry_ratio,
+        ..Bounds::default()
     })
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 //! lets callers move on, finishes what it has in hand, and ends.
 
 mod control;
+mod coordinate;
 mod follow;
 pub mod hosted;
 mod listen;
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -14,6 +14,7 @@
 use crate::backend::{self, Current, Http};
 use crate::call::{Admission, IdGenerator};
 use crate::clock::Clock;
+use crate::coordination::NoDesk;
 use crate::dialect::Native;
 use crate::entry;
 use crate::gate::{self, Gate};
@@ -77,6 +78,8 @@
                 server: Arc::new(Current::fixed(&settings.service)),
                 client: client.clone(),
                 dialect: Arc::new(Native),
+                local: Arc::default(),
+                desk: Arc::new(NoDesk),
                 configure: configure(Arc::clone(&admission), settings.service.clone()),
                 clock,
                 observer,
@@ -194,6 +197,7 @@
         peer: settings.peer_advertise.unwrap_or(bound.peer),
         control: settings.control_advertise.unwrap_or(bound.control),
         state: State::Present,
+        version: String::new(),
     }
 }
 
--- a/src/node/path.rs
+++ b/src/node/path.rs
@@ -6,12 +6,14 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use super::coordinate::Reporter;
 use super::follow::{Configure, Follower};
 use super::nearby::Nearby;
 use crate::backend::{Client, Current, Executor};
 use crate::call::claim::Claims;
 use crate::call::{Admission, IdGenerator, Observer, SnapshotSource};
 use crate::clock::Clock;
+use crate::coordination::{Desk, Local};
 use crate::dialect::Dialect;
 use crate::entry::{self, Entry};
 use crate::membership::Handle;
@@ -40,6 +42,10 @@
     pub client: Arc<dyn Client>,
     /// Headers of callers and backend servers.
     pub dialect: Arc<dyn Dialect>,
+    /// Answers and directives of roll-outs.
+    pub local: Arc<Local>,
+    /// Answers the reports of other nodes.
+    pub desk: Arc<dyn Desk>,
     /// Puts a plan in force at the gate.
     pub configure: Configure,
     /// Clock of the node.
@@ -106,6 +112,8 @@
             observer: Arc::clone(&blueprint.observer),
             ids: Arc::clone(&blueprint.ids),
             claims: Claims::default(),
+            local: Arc::clone(&blueprint.local),
+            desk: Arc::clone(&blueprint.desk),
         });
         let router = Router::new(tuning.routing, location.clone(), blueprint.seed);
         let router = Arc::new(Mutex::new(router));
@@ -116,6 +124,17 @@
             router: Arc::clone(&router),
             clock: blueprint.clock,
         };
+        let reporter = Reporter {
+            handle: handle.clone(),
+            desk: blueprint.desk,
+            local: blueprint.local,
+            transport: blueprint.links.clone(),
+            router: Arc::clone(&router),
+            executor: Arc::clone(&executor),
+            clock: blueprint.clock,
+            instance: location.instance.clone(),
+        };
+        spawn_until(&upkeep, reporter.run());
         let entry = Entry::new(entry::Parts {
             location,
             service: blueprint.service,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -34,6 +34,7 @@
 
 mod calls;
 mod claim_request;
+mod coordination;
 mod departures;
 mod exchange;
 mod inbound;
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -1,7 +1,7 @@
 //! Gate side of one stream.
 //!
 //! The first message decides what the stream is for: a call, a claim request, a recall, an
-//! exchange of plan records or of departures, or a subscription to loads or to the progress of a
+//! exchange of plan records or of departures, a report to a coordinator, or a subscription to loads or to the progress of a
 //! relay. A call is run by the executor, and its response, refusal or failure is sent back as
 //! frames.
 
@@ -28,10 +28,10 @@
 use super::outbound::{Outbound, StreamBroken};
 use super::receiver::BodyReceiver;
 use super::wire::{
-    self, ClaimRequestMessage, ClaimResponseMessage, DeparturesMessage, Encoder, Failed, RawFrame,
-    Recall, Refused, RequestHead, ResponseHead, Trailers, kind,
+    self, ClaimRequestMessage, ClaimResponseMessage, CoordinationMessage, DeparturesMessage,
+    Encoder, Failed, RawFrame, Recall, Refused, RequestHead, ResponseHead, Trailers, kind,
 };
-use super::{Settings, departures, load_subscription, plan_records};
+use super::{Settings, coordination, departures, load_subscription, plan_records};
 
 /// Buffer for a response head and a short body, which leave together.
 const RESPONSE_BUFFER_BYTES: usize = 4 * 1024;
@@ -58,6 +58,9 @@
         Ok(Some(FirstMessage::Departures(message))) => {
             return departures::reply(&executor, message, respond);
         }
+        Ok(Some(FirstMessage::Report(message))) => {
+            return coordination::reply(&executor, &message, respond);
+        }
         Ok(Some(FirstMessage::LoadSubscribe)) => {
             // An error means that the entry has closed the stream.
             let sending = load_subscription::send_load_reports(&executor, respond);
@@ -101,6 +104,7 @@
     Recall(Recall),
     PlanRecords(wire::PlanRecords),
     Departures(DeparturesMessage),
+    Report(CoordinationMessage),
     LoadSubscribe,
     ProgressSubscribe,
 }
@@ -128,6 +132,9 @@
         kind::DEPARTURES => wire::decode_message(kind, &payload)
             .ok()
             .map(FirstMessage::Departures),
+        kind::REPORT => wire::decode_message(kind, &payload)
+            .ok()
+            .map(FirstMessage::Report),
         _ => None,
     }
 }
--- a/src/peer/wire/message.rs
+++ b/src/peer/wire/message.rs
@@ -165,6 +165,13 @@
     pub uptime: Duration,
 }
 
+/// A report to a coordinator, or its directives.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CoordinationMessage {
+    /// The report or the directives as JSON, so that fields can be added.
+    pub json: Bytes,
+}
+
 /// Load report pushed to a subscribed entry.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadUpdateMessage {
@@ -230,4 +237,5 @@
 counted_fields!(PlanRecords, 5: version, records, packed_records, roster_revision, packed_roster);
 counted_fields!(ProgressMessage, 3: plan, roster_revision, distance);
 counted_fields!(DeparturesMessage, 3: instance, packed_processes, uptime);
+counted_fields!(CoordinationMessage, 1: json);
 counted_fields!(LoadUpdateMessage, 2: load, plan);
--- a/src/peer/wire/mod.rs
+++ b/src/peer/wire/mod.rs
@@ -19,8 +19,9 @@
 pub use decoder::{Decoder, Malformed, RawFrame, decode_message};
 pub use encoder::Encoder;
 pub use message::{
-    ClaimRequestMessage, ClaimResponseMessage, DeparturesMessage, Failed, LoadUpdateMessage,
-    PlanRecords, ProgressMessage, Recall, Refused, RequestHead, ResponseHead, Trailers,
+    ClaimRequestMessage, ClaimResponseMessage, CoordinationMessage, DeparturesMessage, Failed,
+    LoadUpdateMessage, PlanRecords, ProgressMessage, Recall, Refused, RequestHead, ResponseHead,
+    Trailers,
 };
 
 /// Version of the frames that this node sends.
@@ -74,6 +75,12 @@
     /// Both directions: departures that a node acknowledged, as the sender knows them. Message
     /// [`DeparturesMessage`](super::DeparturesMessage).
     pub const DEPARTURES: u8 = 17;
+    /// To a coordinator: what a node reports. Message
+    /// [`CoordinationMessage`](super::CoordinationMessage).
+    pub const REPORT: u8 = 18;
+    /// From a coordinator: directives for the node that reported. Message
+    /// [`CoordinationMessage`](super::CoordinationMessage).
+    pub const DIRECTIVES: u8 = 19;
     /// To the entry: starts a response. Message [`ResponseHead`](super::ResponseHead).
     pub const RESPONSE_HEAD: u8 = 9;
 }
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -7,6 +7,7 @@
 pub mod key;
 pub mod path;
 mod regions;
+mod rollout;
 mod terms;
 #[cfg(test)]
 mod tests;
@@ -19,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use regions::Regions;
+pub use rollout::Rollout;
 pub use terms::{Limits, Target, Terms, Upkeep};
 
 /// Number of an accepted sheet; each acceptance adds one. Zero means none.
@@ -60,6 +62,8 @@
     pub hosts: BTreeMap<String, Vec<key::Route>>,
     /// Bounds on callers, where the plan states them.
     pub limits: Option<Limits>,
+    /// Orders to move a service to another version, by service.
+    pub rollouts: BTreeMap<String, Rollout>,
 }
 
 /// A region: availability zones joined by fast links.
--- /dev/null
+++ b/src/rollout/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Roll-outs in virtual time, without a network.
+
+mod controller;
+mod fleet;
+mod judge;
+mod split;
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::Time;
 use crate::reason::Reason;
+use crate::rollout::Lane;
 use crate::token_bucket::TokenBucket;
 
 use super::arena::Arena;
@@ -83,6 +84,9 @@
     pub(super) remote_byte_budgets: &'a mut BTreeMap<String, TokenBucket>,
     pub(super) rng: &'a mut ChaCha8Rng,
     pub(super) candidates: &'a mut Vec<Candidate>,
+    /// Versions to which the call may go, and the target version of the roll-out.
+    pub(super) lane: Lane,
+    pub(super) target_version: &'a str,
 }
 
 impl Selection<'_> {
@@ -298,7 +302,9 @@
     }
 
     fn is_present(&self, _backend: Backend, member: &Member) -> bool {
-        !member.leaving && member.health.backoff_reason(self.now).is_none()
+        !member.leaving
+            && member.health.backoff_reason(self.now).is_none()
+            && self.lane.admits(&member.version, self.target_version)
     }
 
     fn group_count(&self, distance: Distance) -> usize {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -65,6 +65,8 @@
     pub bytes: u64,
     /// Backend servers that this call was already sent to.
     pub tried: TriedBackends,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
 }
 
 /// The backend servers that one call was most recently sent to, in a ring buffer.
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -16,6 +16,7 @@
 use crate::membership::ClusterSnapshot;
 use crate::plan::{Regions, Route, key};
 use crate::reason::Reason;
+use crate::rollout::{Directive, Lane, Split};
 use crate::token_bucket::TokenBucket;
 
 use super::budget::Budget;
@@ -24,7 +25,7 @@
 use super::key::Backend;
 use super::member::{Distance, Member};
 use super::pool::{Group, Pool};
-use super::{Choice, Event, Followed, Location, SelectionRequest, Settings};
+use super::{Choice, Event, Followed, Location, SelectionRequest, Settings, TriedBackends};
 
 /// Backend servers of a service are probed only for this long after its last call.
 const PROBE_WINDOW_AFTER_CALL: Duration = Duration::from_secs(10);
@@ -43,6 +44,8 @@
     probe_budget: TokenBucket,
     remote_byte_budgets: BTreeMap<String, TokenBucket>,
     probe_cursor: usize,
+    /// Roll-outs in progress, by service.
+    splits: BTreeMap<String, Split>,
 }
 
 impl Router {
@@ -60,6 +63,7 @@
             probe_budget: bucket(settings.probe_bytes_per_s, settings.probe_bytes_per_s),
             remote_byte_budgets: BTreeMap::new(),
             probe_cursor: 0,
+            splits: BTreeMap::new(),
         }
     }
 
@@ -67,6 +71,28 @@
     pub fn update(&mut self, now: Time, snapshot: &ClusterSnapshot) {
         self.directory
             .update(now, snapshot, &self.location, &self.settings);
+        self.update_splits();
+    }
+
+    /// Keeps a split for each order of the plan in force.
+    fn update_splits(&mut self) {
+        let orders = &self.directory.plan.rollouts;
+        self.splits.retain(|service, split| {
+            let order = orders.get(service);
+            order.is_some_and(|order| order.target_version == split.target())
+        });
+        for (service, order) in orders {
+            self.splits
+                .entry(service.clone())
+                .or_insert_with(|| Split::new(order.target_version.clone()));
+        }
+    }
+
+    /// Takes in the directive of a roll-out.
+    pub fn on_rollout(&mut self, now: Time, directive: &Directive) {
+        if let Some(split) = self.splits.get_mut(&directive.service) {
+            split.on_directive(now, directive);
+        }
     }
 
     /// Selects a backend server and counts one call in flight to it.
@@ -254,6 +280,55 @@
     }
 
     fn select(&mut self, now: Time, request: &SelectionRequest) -> Result<Candidate, Reason> {
+        let lane = self.lane(now, request);
+        let selected = self.select_in(now, request, lane);
+        let Err(reason) = selected else {
+            return selected;
+        };
+        match lane {
+            Lane::Target => self.select_in(now, request, Lane::Old { is_final: false }),
+            Lane::Old { is_final: false } if !self.has_old_version(request.service) => {
+                self.select_in(now, request, Lane::Any)
+            }
+            Lane::Any | Lane::Old { .. } => Err(reason),
+        }
+    }
+
+    /// Versions to which the call may go. A retry does not go to a version that may be bad.
+    fn lane(&mut self, now: Time, request: &SelectionRequest) -> Lane {
+        if self.splits.is_empty() {
+            return Lane::Any;
+        }
+        let name = self.directory.service_name(request.service);
+        let Some(split) = self.splits.get(name) else {
+            return Lane::Any;
+        };
+        let is_first = request.tried == TriedBackends::new();
+        split.lane(now, request.idempotent && is_first, self.rng.random())
+    }
+
+    /// Whether a backend server of another than the target version is known that does not leave.
+    fn has_old_version(&self, service: key::Service) -> bool {
+        let name = self.directory.service_name(service);
+        let (Some(split), Some(pool)) = (self.splits.get(name), self.directory.pools.get(service))
+        else {
+            return false;
+        };
+        let mut members = pool
+            .members()
+            .filter_map(|key| self.directory.arena.get(key));
+        let old = Lane::Old { is_final: false };
+        members.any(|member| !member.leaving && old.admits(&member.version, split.target()))
+    }
+
+    fn select_in(
+        &mut self,
+        now: Time,
+        request: &SelectionRequest,
+        lane: Lane,
+    ) -> Result<Candidate, Reason> {
+        let name = self.directory.service_name(request.service);
+        let target_version = self.splits.get(name).map_or("", Split::target);
         let Directory { arena, pools, .. } = &mut self.directory;
         let pool = pools
             .get_mut(request.service)
@@ -269,6 +344,8 @@
             remote_byte_budgets: &mut self.remote_byte_budgets,
             rng: &mut self.rng,
             candidates: &mut self.candidates,
+            lane,
+            target_version,
         };
         selection.select()
     }
--- a/src/routing/tests/harness.rs
+++ b/src/routing/tests/harness.rs
@@ -66,6 +66,7 @@
         peer: address,
         control: address,
         state: State::Present,
+        version: String::new(),
     }
 }
 
@@ -105,6 +106,7 @@
         objective: None,
         bytes: 1_000,
         tried: TriedBackends::default(),
+        idempotent: true,
     }
 }
 
--- a/tests/sheet_tool/fleet.rs
+++ b/tests/sheet_tool/fleet.rs
@@ -29,6 +29,7 @@
         peer: control,
         control,
         state: State::Present,
+        version: String::new(),
     }
 }
 
