API keys: tenants by the digest of a key, at entry and gate

With tenants in the configuration every call ran without a key, also with one that no configuration ever held, and backend servers were told no tenant.

--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -297,6 +297,7 @@
         *request.headers_mut() = job.headers;
         let context = Context {
             regions: rule.regions.clone(),
+            tenant: rule.tenant.clone(),
             ..job.context
         };
         let dispatch = DispatchContext {
--- a/src/backend/rule.rs
+++ b/src/backend/rule.rs
@@ -9,13 +9,15 @@
 use crate::call::{Context, Reason, hop, region_names};
 use crate::gate::CallClass;
 use crate::membership::ClusterSnapshot;
-use crate::plan::{Plan, Regions, Version, key};
+use crate::plan::{Plan, Regions, Unauthenticated, Version, key};
 
 /// What the plan says of a call.
 #[derive(Clone, Debug)]
 pub(super) struct Rule {
     pub(super) snapshot: Arc<ClusterSnapshot>,
     pub(super) route: key::Route,
+    /// Tenant by the plan of this gate.
+    pub(super) tenant: Option<String>,
     pub(super) worth: u32,
     pub(super) deadline: Duration,
     pub(super) idempotent: bool,
@@ -66,7 +68,7 @@
         let host = hop::host(&job.headers);
         let route = plan.find(service, host, &job.method, job.path.path());
         let key = route.ok_or(Reason::UnknownRoute)?;
-        let tenant = find_tenant(plan, &job.context)?;
+        let tenant = find_tenant(plan, key, &job.context)?;
         let home = plan.home_regions(key, tenant);
         let allowed = home.intersection(job.context.allowed_regions(plan));
         if !contains_region(plan, allowed, &self.location.region) {
@@ -76,7 +78,8 @@
         Ok(Rule {
             snapshot: Arc::clone(snapshot),
             route: key,
-            worth: route.worth,
+            tenant: tenant.map(|tenant| plan.tenant(tenant).name.clone()),
+            worth: plan.worth(key, tenant),
             deadline: route.deadline,
             idempotent: route.is_idempotent(&job.method),
             regions: region_names(plan, allowed),
@@ -90,7 +93,11 @@
 fn refusal_between(entry: Version, own: Version, reason: Reason) -> Reason {
     let depends_on_plan = matches!(
         reason,
-        Reason::UnknownRoute | Reason::UnknownService | Reason::UnknownTenant | Reason::Region
+        Reason::UnknownRoute
+            | Reason::UnknownService
+            | Reason::UnknownTenant
+            | Reason::Unauthenticated
+            | Reason::Region
     );
     let is_stale = entry < own && reason != Reason::Malformed;
     if is_stale || (entry > own && depends_on_plan) {
@@ -100,12 +107,21 @@
     }
 }
 
-/// The tenant that a call names.
+/// The tenant of a call: that of its API key in a plan with keys, otherwise the one it names.
 ///
 /// # Errors
 ///
-/// Refuses a name that the plan does not know, since its regions are unknown.
-pub(crate) fn find_tenant(plan: &Plan, context: &Context) -> Result<Option<key::Tenant>, Reason> {
+/// Refuses a call without a known key where one is needed, and a name that the plan does not know,
+/// since its regions are unknown.
+pub(crate) fn find_tenant(
+    plan: &Plan,
+    route: key::Route,
+    context: &Context,
+) -> Result<Option<key::Tenant>, Reason> {
+    if plan.api_keys.is_some() {
+        let tenant = plan.authenticate(route, context.api_key.as_ref());
+        return tenant.map_err(|Unauthenticated| Reason::Unauthenticated);
+    }
     let Some(name) = &context.tenant else {
         return Ok(None);
     };
--- a/src/call/context.rs
+++ b/src/call/context.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::headers;
-use crate::plan::{Plan, Regions};
+use crate::plan::{KeyDigest, Plan, Regions};
 
 use super::Reason;
 
@@ -23,6 +23,8 @@
     pub regions: Option<Vec<String>>,
     /// Tenant on whose behalf the call is made.
     pub tenant: Option<String>,
+    /// Digest of the caller's API key.
+    pub api_key: Option<KeyDigest>,
 }
 
 impl Context {
@@ -45,6 +47,7 @@
             time_left,
             regions,
             tenant,
+            api_key: None,
         })
     }
 
--- a/src/dialect/mod.rs
+++ b/src/dialect/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Response};
+use http::{HeaderMap, HeaderValue, Response, header};
 
 use crate::call::{Body, Context, Reason, UnknownOutcome};
 use crate::gate::Signal;
@@ -31,6 +31,12 @@
     /// Fails if a header of the dialect is malformed.
     fn context(&self, headers: &HeaderMap) -> Result<Context, Reason>;
 
+    /// API key of a request; `None` if there is none, several, or none that can be read.
+    fn api_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]>;
+
+    /// Removes the API key, and any tenant that the caller names, where the plan knows API keys.
+    fn strip_credentials(&self, headers: &mut HeaderMap);
+
     /// Prepares the headers of a request to a gate. `caller` is the service beside the entry.
     fn prepare_for_gate(&self, headers: &mut HeaderMap, caller: &str);
 
@@ -95,6 +101,23 @@
     pub signals: Vec<Signal>,
 }
 
+/// The credentials of the only `Authorization` field, if it has this scheme.
+#[must_use]
+pub fn credentials<'a>(headers: &'a HeaderMap, scheme: &str) -> Option<&'a [u8]> {
+    let mut fields = headers.get_all(header::AUTHORIZATION).iter();
+    let field = fields.next()?.as_bytes();
+    if fields.next().is_some() {
+        return None;
+    }
+    let (word, rest) = field.split_at_checked(scheme.len())?;
+    if !word.eq_ignore_ascii_case(scheme.as_bytes()) || !rest.starts_with(b" ") {
+        return None;
+    }
+    let key = rest.trim_ascii();
+    let is_one_word = !key.is_empty() && !key.contains(&b' ');
+    is_one_word.then_some(key)
+}
+
 /// A call that certainly did not run.
 #[derive(Clone, Copy, Debug)]
 pub struct Refusal<'a> {
--- a/src/dialect/native.rs
+++ b/src/dialect/native.rs
@@ -1,14 +1,14 @@
 //! The product's own headers, as described in docs/CALLS.md.
 
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call::{Body, Context, Reason, UnknownOutcome};
 use crate::gate::Signal;
 use crate::headers;
 
-use super::{Dialect, DispatchContext, HealthReport, Refusal, ResponseClass, refusal};
+use super::{Dialect, DispatchContext, HealthReport, Refusal, ResponseClass, credentials, refusal};
 
 /// The product's own header dialect.
 #[derive(Clone, Copy, Debug, Default)]
@@ -24,6 +24,15 @@
         Context::from_headers(headers)
     }
 
+    fn api_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]> {
+        credentials(headers, "Bearer")
+    }
+
+    fn strip_credentials(&self, headers: &mut HeaderMap) {
+        headers.remove(header::AUTHORIZATION);
+        headers.remove(headers::TENANT);
+    }
+
     fn prepare_for_gate(&self, headers: &mut HeaderMap, _caller: &str) {
         for name in [
             headers::SERVICE,
--- a/src/dialect/refusal.rs
+++ b/src/dialect/refusal.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use serde::Serialize;
@@ -37,6 +37,10 @@
         let seconds = HeaderValue::from(whole_seconds(refusal.retry_after));
         response.headers_mut().insert(RETRY_AFTER, seconds);
     }
+    if reason == Reason::Unauthenticated {
+        let challenge = HeaderValue::from_static("Bearer");
+        response.headers_mut().insert(WWW_AUTHENTICATE, challenge);
+    }
     if let Ok(value) = HeaderValue::from_str(refusal.addresses)
         && !refusal.addresses.is_empty()
     {
@@ -90,6 +94,8 @@
         Reason::UnknownService | Reason::UnknownRoute | Reason::UnknownTenant => {
             StatusCode::NOT_FOUND
         }
+        Reason::Unauthenticated => StatusCode::UNAUTHORIZED,
+        Reason::RateLimited => StatusCode::TOO_MANY_REQUESTS,
         Reason::TooManyHops => StatusCode::LOOP_DETECTED,
         Reason::Malformed => StatusCode::BAD_REQUEST,
         Reason::Duplicate => StatusCode::CONFLICT,
@@ -108,7 +114,10 @@
 }
 
 const fn may_help_later(reason: Reason) -> bool {
-    matches!(status(reason), StatusCode::SERVICE_UNAVAILABLE)
+    matches!(
+        status(reason),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
 }
 
 const fn remedy(reason: Reason) -> &'static str {
@@ -129,6 +138,10 @@
         Reason::UnknownService => "name a service of the plan in Host or Monsooncove-Service",
         Reason::UnknownRoute => "no route of the service covers method and path",
         Reason::UnknownTenant => "name a tenant of the plan in Monsooncove-Tenant",
+        Reason::Unauthenticated => "send an API key of the plan as Authorization: Bearer KEY",
+        Reason::RateLimited => {
+            "the tenant has used up its rate limit; send it again later, or have the limit raised"
+        }
         Reason::TooManyHops => "the services call each other in a loop; end it",
         Reason::Malformed => "the request or a Monsooncove header is malformed; see docs/CALLS.md",
         Reason::Starting => "the node has just started; send it through another, or again later",
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -8,6 +8,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderMap, Response};
 use http_body_util::BodyExt;
 use tokio::time::sleep;
@@ -164,6 +165,11 @@
             bodiless: upload.is_bodiless(),
             objective_left: routable.objective_left(self.parts.clock.now()),
             queue_timeout: choice.queue_timeout.unwrap_or_default(),
+            api_key: routable
+                .context
+                .api_key
+                .map(|digest| Bytes::copy_from_slice(digest.as_bytes()))
+                .unwrap_or_default(),
         };
         let terms = AttemptTimeouts {
             recall_after: choice.recall_after,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -17,7 +17,7 @@
 use crate::dialect::Dialect;
 use crate::headers;
 use crate::membership::{ClusterSnapshot, State};
-use crate::plan::{Plan, Regions, Version, key};
+use crate::plan::{KeyDigest, Plan, Regions, Version, key};
 
 use super::Entry;
 
@@ -30,6 +30,7 @@
     pub(super) snapshot: Arc<ClusterSnapshot>,
     pub(super) service: key::Service,
     pub(super) route: key::Route,
+    pub(super) tenant: Option<key::Tenant>,
     pub(super) allowed_regions: Regions,
     pub(super) context: Context,
     pub(super) time_left: Duration,
@@ -72,6 +73,12 @@
         if plan.version == Version::default() {
             return Err(Reason::NoPlan.into());
         }
+        let api_key = plan.api_keys.as_ref();
+        let api_key = api_key.and_then(|_| parts.dialect.api_key(&head.headers));
+        let context = Context {
+            api_key: api_key.map(KeyDigest::of),
+            ..context
+        };
         let path = parse_path(&head)?;
         let host = requested_host(&head);
         let query = RouteQuery {
@@ -89,6 +96,7 @@
         let RouteMatch {
             service,
             route,
+            tenant,
             allowed_regions,
         } = route_match;
         let trace = Trace::from_headers(&head.headers, &parts.ids);
@@ -104,13 +112,19 @@
         let to_deadline = |objective: Duration| now + objective.saturating_sub(elapsed);
         let objective_deadline = spec.terms.objective.map(to_deadline);
         let idempotent = spec.is_idempotent(&head.method);
-        let regions = region_names(plan, allowed_regions);
+        let context = Context {
+            regions: region_names(plan, allowed_regions),
+            tenant: tenant.map(|key| plan.tenant(key).name.clone()),
+            ..context
+        };
         let expects_continue = head.headers.contains_key(header::EXPECT);
+        let has_keys = plan.api_keys.is_some();
         Ok(Self {
             service,
             route,
+            tenant,
             allowed_regions,
-            context: Context { regions, ..context },
+            context,
             time_left,
             objective_deadline,
             idempotent,
@@ -118,7 +132,7 @@
             path,
             expects_continue,
             trace,
-            headers: forwarded_headers(head, parts.dialect.as_ref(), &parts.service),
+            headers: forwarded_headers(head, parts.dialect.as_ref(), &parts.service, has_keys),
             snapshot,
         })
     }
@@ -143,9 +157,12 @@
         let RouteMatch {
             service,
             route,
+            tenant,
             allowed_regions,
         } = query.resolve(&snapshot, entry, preferred_service)?;
         self.context.regions = region_names(plan, allowed_regions);
+        self.context.tenant = tenant.map(|key| plan.tenant(key).name.clone());
+        self.tenant = tenant;
         self.service = service;
         self.route = route;
         self.allowed_regions = allowed_regions;
@@ -180,7 +197,7 @@
 
     /// Worth of a response, as the plan states it.
     pub(super) fn worth(&self) -> u32 {
-        self.snapshot.plan.route(self.route).worth
+        self.snapshot.plan.worth(self.route, self.tenant)
     }
 }
 
@@ -196,6 +213,7 @@
 struct RouteMatch {
     service: key::Service,
     route: key::Route,
+    tenant: Option<key::Tenant>,
     allowed_regions: Regions,
 }
 
@@ -212,7 +230,7 @@
     ) -> Result<RouteMatch, Rejection> {
         let plan = &snapshot.plan;
         let (route, service) = self.route(plan, entry, preferred_service)?;
-        let tenant = find_tenant(plan, self.context)?;
+        let tenant = find_tenant(plan, route, self.context)?;
         let home = plan.home_regions(route, tenant);
         let allowed_regions = home.intersection(self.context.allowed_regions(plan));
         let at_home = contains_region(plan, allowed_regions, &entry.parts.location.region);
@@ -220,6 +238,7 @@
             return Ok(RouteMatch {
                 service,
                 route,
+                tenant,
                 allowed_regions,
             });
         }
@@ -299,11 +318,19 @@
 
 /// Headers for the backend server: without hop-by-hop fields, and with `Host` taken from the
 /// request target if that has an authority.
-fn forwarded_headers(head: Head, dialect: &dyn Dialect, default_service: &str) -> HeaderMap {
+fn forwarded_headers(
+    head: Head,
+    dialect: &dyn Dialect,
+    default_service: &str,
+    has_keys: bool,
+) -> HeaderMap {
     let authority = head.uri.authority().cloned();
     let mut fields = head.headers;
     hop::strip(&mut fields);
     fields.remove(header::EXPECT);
+    if has_keys {
+        dialect.strip_credentials(&mut fields);
+    }
     dialect.prepare_for_gate(&mut fields, default_service);
     let host = authority.and_then(|authority| HeaderValue::from_str(authority.as_str()).ok());
     if let Some(host) = host {
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of whole calls through nodes that run in this process, with backend servers that follow
 //! a script of responses and failures.
 
+mod api_keys;
 mod bodies;
 mod call_ages;
 mod claims;
--- a/src/entry/tests/test_cluster.rs
+++ b/src/entry/tests/test_cluster.rs
@@ -130,6 +130,7 @@
     let tenant = |name: &str, home: Regions| Tenant {
         name: name.into(),
         regions: home,
+        ..Tenant::default()
     };
     let mut plan = Plan {
         version: Version(1),
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -23,6 +23,8 @@
 use crate::call::claim::{ClaimRequest, Digest};
 use crate::call::{Body, BodyError, Context, Event, Loss, MAX_HOPS, Reason, Trace};
 
+use crate::plan::KeyDigest;
+
 use super::calls::ActiveCalls;
 use super::inbound::Inbound;
 use super::outbound::{Outbound, StreamBroken};
@@ -387,6 +389,7 @@
             time_left: Some(request_head.time_left),
             regions: (!request_head.regions.is_empty()).then_some(request_head.regions),
             tenant: (!request_head.tenant.is_empty()).then_some(request_head.tenant),
+            api_key: KeyDigest::from_bytes(&request_head.api_key),
         },
         deadline: executor.clock.now() + request_head.time_left,
         objective: (request_head.objective_left > Duration::ZERO)
--- a/src/peer/wire/message.rs
+++ b/src/peer/wire/message.rs
@@ -47,6 +47,8 @@
     pub objective_left: Duration,
     /// Queue time after which the gate returns the call to the entry; zero for no limit.
     pub queue_timeout: Duration,
+    /// Digest of the caller's API key; empty for none.
+    pub api_key: Bytes,
 }
 
 /// Request to withdraw a call that is still queued.
@@ -225,8 +227,8 @@
     };
 }
 
-counted_fields!(RequestHead, 13: call, plan, service, tenant, method, path, headers, time_left, hops,
-    regions, bodiless, objective_left, queue_timeout);
+counted_fields!(RequestHead, 14: call, plan, service, tenant, method, path, headers, time_left, hops,
+    regions, bodiless, objective_left, queue_timeout, api_key);
 counted_fields!(ResponseHead, 5: call, status, headers, load, plan);
 counted_fields!(Refused, 4: call, reason, load, plan);
 counted_fields!(Failed, 3: call, loss, load);
--- a/src/peer/wire/tests.rs
+++ b/src/peer/wire/tests.rs
@@ -50,6 +50,7 @@
         bodiless: false,
         objective_left: Duration::from_millis(300),
         queue_timeout: Duration::from_millis(40),
+        api_key: Bytes::from_static(b"digest"),
     }
 }
 
@@ -332,7 +333,7 @@
     refused_round_trips: round_trips(kind::REFUSED, &REFUSED);
     failed_round_trips: round_trips(kind::FAILED, &FAILED);
     trailers_round_trip: round_trips(kind::TRAILERS, &trailers());
-    request_head_ignores_added_field: ignores_added_field(kind::REQUEST_HEAD, &request_head(), 13);
+    request_head_ignores_added_field: ignores_added_field(kind::REQUEST_HEAD, &request_head(), 14);
     response_head_ignores_added_field: ignores_added_field(kind::RESPONSE_HEAD, &response_head(), 5);
     refused_ignores_added_field: ignores_added_field(kind::REFUSED, &REFUSED, 4);
     failed_ignores_added_field: ignores_added_field(kind::FAILED, &FAILED, 3);
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -4,6 +4,7 @@
 //! goes back to an older [`Version`]. Lookups by name happen once per call, at
 //! the edge; everything after works with the `Copy` keys of [`key`].
 
+mod api_key;
 pub mod key;
 pub mod path;
 mod regions;
@@ -19,9 +20,19 @@
 use http::Method;
 use serde::{Deserialize, Serialize};
 
+pub use api_key::KeyDigest;
 pub use regions::Regions;
 pub use rollout::Rollout;
-pub use terms::{Limits, Target, Terms, Upkeep};
+pub use terms::{Limits, RateLimit, Target, Terms, Upkeep};
+
+/// Largest worth of a route, as the sheet allows it.
+const ROUTE_WORTH_MAX: u32 = 1_000_000;
+/// Priorities of tenants that are told apart.
+const TENANT_RANKS: u32 = 1_000;
+
+/// A call without a known API key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unauthenticated;
 
 /// Number of an accepted sheet; each acceptance adds one. Zero means none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -64,6 +75,9 @@
     pub limits: Option<Limits>,
     /// Orders to move a service to another version, by service.
     pub rollouts: BTreeMap<String, Rollout>,
+    /// Tenants by the digest of their API keys. Where there are any, calls of routes that are not
+    /// open need a key; `None` if the plan knows no keys.
+    pub api_keys: Option<BTreeMap<KeyDigest, key::Tenant>>,
 }
 
 /// A region: availability zones joined by fast links.
@@ -111,12 +125,16 @@
 }
 
 /// A tenant and the regions that may serve and store its calls.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tenant {
     /// Name in the sheet, and in the `Monsooncove-Tenant` header of callers.
     pub name: String,
     /// Home regions.
     pub regions: Regions,
+    /// Rank of its calls before that of their routes; 0 comes first.
+    pub priority: Option<u32>,
+    /// Calls a second that all nodes together may run for it.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// A kind of request of one service.
@@ -216,6 +234,39 @@
         routes.iter().copied().find(covers)
     }
 
+    /// Tenant of a call of `route` with this API key, in a plan with keys.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a call without a known key, unless the route is open.
+    pub fn authenticate(
+        &self,
+        route: key::Route,
+        api_key: Option<&KeyDigest>,
+    ) -> Result<Option<key::Tenant>, Unauthenticated> {
+        let keys = self.api_keys.as_ref();
+        let tenant = keys
+            .zip(api_key)
+            .and_then(|(keys, api_key)| keys.get(api_key));
+        if tenant.is_none() && !self.route(route).terms.open {
+            return Err(Unauthenticated);
+        }
+        Ok(tenant.copied())
+    }
+
+    /// Worth of a call against others: first by the priority of its tenant, then by its route.
+    /// A call of no tenant belongs to another call, which has had its turn.
+    #[must_use]
+    pub fn worth(&self, route: key::Route, tenant: Option<key::Tenant>) -> u32 {
+        let by_route = self.route(route).worth;
+        if self.api_keys.is_none() {
+            return by_route;
+        }
+        let priority = tenant.map_or(Some(0), |key| self.tenant(key).priority);
+        let rank = priority.map_or(TENANT_RANKS, |priority| priority.min(TENANT_RANKS));
+        by_route.min(ROUTE_WORTH_MAX) + (TENANT_RANKS - rank) * (ROUTE_WORTH_MAX + 1)
+    }
+
     /// Regions that may serve and store a call of `route` for `tenant`.
     #[must_use]
     pub fn home_regions(&self, route: key::Route, tenant: Option<key::Tenant>) -> Regions {
--- a/src/plan/terms.rs
+++ b/src/plan/terms.rs
@@ -28,6 +28,17 @@
     pub objective: Option<Duration>,
     /// Services that share the calls; the route's own service when empty.
     pub targets: Vec<Target>,
+    /// Whether calls need no API key.
+    pub open: bool,
+}
+
+/// Calls that all nodes together may run for one tenant.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateLimit {
+    /// Calls a second over time.
+    pub per_s: f64,
+    /// Calls beyond that at once.
+    pub burst: f64,
 }
 
 /// One of several services that share the calls of a route.
--- a/src/plan/tests/mod.rs
+++ b/src/plan/tests/mod.rs
@@ -1,1 +1,2 @@
+mod api_keys;
 mod lookup;
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -47,11 +47,15 @@
     Starting = 18,
     /// The gate cannot start the call before the entry's start deadline.
     LateTurn = 19,
+    /// The call has no API key that the plan knows.
+    Unauthenticated = 20,
+    /// The tenant has used up its rate limit.
+    RateLimited = 21,
 }
 
 impl Reason {
     /// All reasons, in the order of their numbers.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 21] = [
         Self::Overloaded,
         Self::Deadline,
         Self::ZoneOut,
@@ -71,6 +75,8 @@
         Self::Duplicate,
         Self::Starting,
         Self::LateTurn,
+        Self::Unauthenticated,
+        Self::RateLimited,
     ];
 
     /// Reason with this number on the wire, if there is one.
@@ -127,6 +133,8 @@
             Self::Duplicate => "duplicate",
             Self::Starting => "starting",
             Self::LateTurn => "late-turn",
+            Self::Unauthenticated => "unauthenticated",
+            Self::RateLimited => "rate-limited",
         }
     }
 }
--- a/src/sheet/compile.rs
+++ b/src/sheet/compile.rs
@@ -61,7 +61,11 @@
             let regions = regions(&plan.region_names, &tenant.home);
             let tenant_key = key::Tenant(position(plan.tenants.len()));
             plan.tenant_names.insert(name.clone(), tenant_key);
-            plan.tenants.push(plan::Tenant { name, regions });
+            plan.tenants.push(plan::Tenant {
+                name,
+                regions,
+                ..plan::Tenant::default()
+            });
         }
         Row::Route(route) => {
             let Some(&service) = plan.service_names.get(&key.service) else {
