--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::request::Parts as Head;
 use http::{HeaderValue, Response};
-use hyper::body::Incoming;
 
 use crate::call::{
     Body, BodyError, Call, CallOutcome, Decision, DecisionRecorder, Event, Loss, NotRun, Reason,
@@ -32,22 +32,40 @@
 
 impl Entry {
     /// Handles one request of a caller and returns the response or refusal.
-    pub(super) async fn handle(
-        self: &Arc<Self>,
-        request: http::Request<Incoming>,
-    ) -> Response<Body> {
+    pub(super) async fn handle(self: &Arc<Self>, head: Head, body: RequestBody) -> Response<Body> {
         let parts = &self.parts;
         let started = parts.clock.now();
         parts.observer.event(Event::Received);
-        let (head, body) = request.into_parts();
-        let body = RequestBody::new(body, &head.headers);
-        // The deadline is not known before the checks; `Call::route` sets it.
-        let call = Call::<Received>::receive(Time::from_micros(u64::MAX));
         let request_id = parts.dialect.request_id(&head.headers);
-        let mut routable = match Routable::check(self, head) {
-            Ok(routable) => routable,
-            Err(rejection) => return self.reject(call, request_id.as_ref(), &rejection),
-        };
+        match Routable::check(self, head) {
+            Ok(routable) => self.serve(started, routable, body).await,
+            Err(rejection) => self.reject(received(), request_id.as_ref(), &rejection),
+        }
+    }
+
+    /// Handles a pipelined request without a body before its turn.
+    ///
+    /// Returns `None` if it has to wait: its call may run only once, or it is to be refused, which
+    /// is left to its turn.
+    pub(super) async fn handle_ahead(self: &Arc<Self>, head: Head) -> Option<Response<Body>> {
+        let started = self.parts.clock.now();
+        let routable = Routable::check(self, head).ok()?;
+        if !routable.idempotent {
+            return None;
+        }
+        self.parts.observer.event(Event::Received);
+        Some(self.serve(started, routable, RequestBody::empty()).await)
+    }
+
+    /// Forwards a checked request.
+    async fn serve(
+        self: &Arc<Self>,
+        started: Time,
+        mut routable: Routable,
+        body: RequestBody,
+    ) -> Response<Body> {
+        let parts = &self.parts;
+        let call = received();
         let call = call.route(routable.worth(), started + routable.time_left);
         let upload = Upload::new(body.boxed_unsync(), routable.expects_continue);
         let recording = SpanRecorder::begin(
@@ -361,3 +379,8 @@
         Some(upload)
     }
 }
+
+/// A call whose deadline is not known before the checks; `Call::route` sets it.
+const fn received() -> Call<Received> {
+    Call::<Received>::receive(Time::from_micros(u64::MAX))
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -54,6 +54,7 @@
 mod claim;
 mod forward;
 mod hedge;
+mod pipeline;
 mod progress;
 mod request;
 mod request_body;
@@ -69,6 +70,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -85,6 +87,9 @@
 pub use server::serve;
 pub use settings::Settings;
 
+/// Largest number of calls of one node that are started before their turn.
+const MAX_PREFETCHED_CALLS: usize = 256;
+
 /// Components and settings of an [`Entry`].
 pub struct Parts {
     /// Instance, region and availability zone of the node.
@@ -119,6 +124,8 @@
     parts: Parts,
     connections: TaskTracker,
     call_ages: Mutex<CallAgeEstimator>,
+    /// Calls of this node that may be started before their turn.
+    prefetch_permits: Arc<Semaphore>,
 }
 
 impl fmt::Debug for Entry {
@@ -137,6 +144,7 @@
             parts,
             connections: TaskTracker::new(),
             call_ages: Mutex::default(),
+            prefetch_permits: Arc::new(Semaphore::new(MAX_PREFETCHED_CALLS)),
         })
     }
 
--- a/src/entry/request_body.rs
+++ b/src/entry/request_body.rs
@@ -32,6 +32,14 @@
 }
 
 impl RequestBody {
+    /// Body of a request without one.
+    pub(super) const fn empty() -> Self {
+        Self {
+            incoming: None,
+            is_sent_unasked: false,
+        }
+    }
+
     pub(super) fn new(incoming: Incoming, headers: &HeaderMap) -> Self {
         Self {
             incoming: (!incoming.is_end_stream()).then_some(incoming),
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -3,14 +3,13 @@
 //! Each connection runs in a task of its own, and a semaphore limits their number. On shutdown the
 //! listener closes, connections finish their running requests, and then [`serve`] returns.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::{HeaderValue, Response, Version, header};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -19,11 +18,15 @@
 use crate::call::{Body, Event};
 use crate::plan::Limits;
 
+use super::pipeline::{CallerGone, Io, Pipeline};
 use super::{Entry, Settings};
 
 /// Delay before the next `accept` after a failed one, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time between two checks whether calls are ahead of their turn.
+const PREFETCH_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Smallest buffer for a request head that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 
@@ -68,14 +71,17 @@
     }
     let limits = entry.parts.snapshot_source.snapshot().plan.limits;
     let builder = connection_builder(entry.parts.settings, limits);
+    let pipeline = Pipeline::new(entry, socket);
+    let answering = Arc::clone(&pipeline);
     let service = service_fn(move |request: http::Request<Incoming>| {
-        let entry = Arc::clone(&entry);
-        async move { Ok::<_, Infallible>(respond(&entry, request).await) }
+        let pipeline = Arc::clone(&answering);
+        async move { respond(&pipeline, request).await }
     });
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(socket), service));
+    let io = Io(Arc::clone(&pipeline));
+    let mut connection = std::pin::pin!(builder.serve_connection(io, service));
     let served = tokio::select! {
         served = connection.as_mut() => served,
-        () = shutdown.cancelled() => {
+        () = wait_for_stop(&shutdown, &pipeline) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -85,16 +91,28 @@
     }
 }
 
+/// Returns on shutdown, once no call of the connection is ahead of its turn: a backend server may
+/// be at work on it.
+async fn wait_for_stop(shutdown: &CancellationToken, pipeline: &Pipeline) {
+    shutdown.cancelled().await;
+    while pipeline.has_prefetched() {
+        tokio::time::sleep(PREFETCH_CHECK_INTERVAL).await;
+    }
+}
+
 /// Responds to one request. While the node stops, HTTP/1 responses close their connection, so
-/// that the caller connects to another node.
-async fn respond(entry: &Arc<Entry>, request: http::Request<Incoming>) -> Response<Body> {
+/// that the caller connects to another node, unless calls of the connection were started ahead.
+async fn respond(
+    pipeline: &Pipeline,
+    request: http::Request<Incoming>,
+) -> Result<Response<Body>, CallerGone> {
     let is_http1 = request.version() <= Version::HTTP_11;
-    let mut response = entry.handle(request).await;
-    if is_http1 && entry.parts.stopping.is_cancelled() {
+    let mut response = pipeline.respond(request).await?;
+    if is_http1 && pipeline.is_stopping() && !pipeline.has_prefetched() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response
+    Ok(response)
 }
 
 /// Connection builder with the limits of the settings, or those of the plan if it has any.
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -19,6 +19,9 @@
     pub stream_window_bytes: u32,
     /// Initial flow-control window of an HTTP/2 connection, in bytes.
     pub connection_window_bytes: u32,
+    /// Largest number of pipelined calls of one connection that are started before their turn. Zero
+    /// serves pipelined requests one after the other.
+    pub max_prefetched_calls: usize,
     /// Largest number of attempts of one call.
     pub max_attempts: u32,
     /// Time after the start of the node's clock during which calls with an idempotency key are
@@ -64,6 +67,7 @@
             max_streams: 128,
             stream_window_bytes: 256 * 1024,
             connection_window_bytes: 4 * 1024 * 1024,
+            max_prefetched_calls: 15,
             max_attempts: 4,
             idempotency_key_delay: Duration::ZERO,
             forwards_to_home_region: false,
