Rate limits of tenants over all nodes, and fair turns at a gate

Entries now count calls by tenant and report them to the coordinator, whose buckets restrict the share of the demand that each entry admits; 429 comes at once, with a delay spread over the callers. At a gate, calls of one worth start in the turns of their tenants (start-time fair queueing), so that one that sends ten times as much waits and is shed first.

--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -166,6 +166,7 @@
         let arrival = Arrival {
             objective: job.objective,
             start_deadline: job.begin_by,
+            tenant: rule.tenant_id(),
             class,
             ..Arrival::default()
         };
--- a/src/backend/rule.rs
+++ b/src/backend/rule.rs
@@ -7,7 +7,7 @@
 
 use super::{Executor, Job};
 use crate::call::{Context, Reason, hop, region_names};
-use crate::gate::CallClass;
+use crate::gate::{CallClass, TenantId};
 use crate::membership::ClusterSnapshot;
 use crate::plan::{Plan, Regions, Unauthenticated, Version, key};
 
@@ -25,6 +25,13 @@
 }
 
 impl Rule {
+    /// Tenant with which the call shares its turn, whatever the plan.
+    pub(super) fn tenant_id(&self) -> Option<TenantId> {
+        let has_keys = self.snapshot.plan.api_keys.is_some();
+        let tenant = self.tenant.as_ref().filter(|_| has_keys)?;
+        Some(TenantId(xxh3_64(tenant.as_bytes())))
+    }
+
     /// Calls of one route run for a like time, whatever the plan.
     pub(super) fn kind(&self) -> CallClass {
         let route = self.snapshot.plan.route(self.route);
--- a/src/coordination/coordinator.rs
+++ b/src/coordination/coordinator.rs
@@ -8,8 +8,9 @@
 use super::record::{Call, Record};
 use super::{Desk, Directives, Report, StoreStatus};
 use crate::clock::{Clock, Time};
-use crate::membership::Handle;
+use crate::membership::{ClusterSnapshot, Handle};
 use crate::plan::{Plan, Rollout};
+use crate::quota::Ledger;
 use crate::rollout::{self, Controller, Phase, State};
 
 /// Time without any report after which nothing known is current any more.
@@ -39,6 +40,7 @@
 struct Joined {
     last_report: Time,
     rollouts: BTreeMap<String, Running>,
+    ledger: Ledger,
 }
 
 /// One roll-out.
@@ -93,7 +95,8 @@
         })
     }
 
-    fn join(&self, plan: &Plan, report: Report) -> Directives {
+    fn join(&self, snapshot: &ClusterSnapshot, report: Report) -> Directives {
+        let plan = &snapshot.plan;
         let now = self.clock.now();
         let mut joined = lock(&self.state);
         if now.since(joined.last_report) >= SILENCE_LIMIT {
@@ -112,8 +115,18 @@
         }
         let controllers = joined.rollouts.values();
         let controllers = controllers.filter_map(|running| running.controller.as_ref());
+        let rollouts = controllers.map(Controller::directive).collect();
+        let nodes = snapshot.view.len();
+        let limit = |tenant: &str| {
+            let key = plan.tenant_names.get(tenant)?;
+            plan.tenant(*key).rate_limit
+        };
+        let ledger = &mut joined.ledger;
+        let period = Duration::from_millis(report.usage_ms);
+        ledger.on_report(now, &report.instance, &report.usage, period, nodes, limit);
         Directives {
-            rollouts: controllers.map(Controller::directive).collect(),
+            rollouts,
+            restrictions: ledger.restrictions(now, nodes),
         }
     }
 
@@ -178,8 +191,7 @@
 
 impl Desk for Coordinator {
     fn on_report(&self, report: Report) -> Directives {
-        let plan = Arc::clone(&self.handle.snapshot().plan);
-        self.join(&plan, report)
+        self.join(&self.handle.snapshot(), report)
     }
 }
 
--- a/src/coordination/local.rs
+++ b/src/coordination/local.rs
@@ -5,9 +5,12 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use super::Directives;
 use crate::clock::Time;
-use crate::plan::Plan;
+use crate::plan::{Plan, RateLimit};
+use crate::quota::{Meter, TenantUsage};
 use crate::rollout::{Directive, Evidence, VersionReport};
 
 /// Age from which a directive no longer closes a gate, unless its roll-out has ended.
@@ -19,6 +22,9 @@
     /// Whether answers are counted; read for every call.
     is_recording: AtomicBool,
     inner: Mutex<Inner>,
+    meter: Mutex<Meter>,
+    /// Notified when a report should not wait.
+    is_overdue: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -73,8 +79,44 @@
         self.lock().evidence.report(now, accepting, in_hand)
     }
 
+    /// Admits a call of a tenant with a rate limit, in a fleet of `nodes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which a call is likely to be admitted.
+    pub fn admit(
+        &self,
+        now: Time,
+        tenant: &str,
+        limit: RateLimit,
+        nodes: usize,
+    ) -> Result<(), Duration> {
+        let mut meter = self.meter();
+        let admitted = meter.admit(now, tenant, limit, nodes);
+        if meter.is_report_overdue(now, tenant) {
+            self.is_overdue.notify_one();
+        }
+        admitted
+    }
+
+    /// Takes back an admission: the call did not run.
+    pub fn refund(&self, tenant: &str) {
+        self.meter().refund(tenant);
+    }
+
+    /// Calls of tenants since the last report that was replied to, and the time in which they came.
+    pub fn take_usage(&self, now: Time) -> (Vec<TenantUsage>, Duration) {
+        self.meter().take_usage(now)
+    }
+
+    /// Waits until a report should not wait any longer.
+    pub async fn report_overdue(&self) {
+        self.is_overdue.notified().await;
+    }
+
     /// Takes in directives.
     pub fn on_directives(&self, now: Time, directives: &Directives) {
+        self.meter().on_reply(now, &directives.restrictions);
         let mut inner = self.lock();
         for directive in &directives.rollouts {
             let known = inner.directives.get(&directive.service);
@@ -110,6 +152,10 @@
         is_current && !inner.version.is_empty() && directive.excludes(&inner.version)
     }
 
+    fn meter(&self) -> MutexGuard<'_, Meter> {
+        self.meter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Every change leaves the state valid, so a panic elsewhere does too.
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,6 +21,7 @@
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 
+use crate::quota::{Restriction, TenantUsage};
 use crate::rollout;
 
 pub use coordinator::{Coordinator, Settings};
@@ -38,6 +39,12 @@
     /// Answers of its backend server, while its service is rolled out.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<rollout::VersionReport>,
+    /// Calls of tenants with a rate limit.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub usage: Vec<TenantUsage>,
+    /// Time in which these calls came, in milliseconds.
+    #[serde(default)]
+    pub usage_ms: u64,
 }
 
 /// What a node is told.
@@ -47,6 +54,9 @@
     /// One for each service that is rolled out.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<rollout::Directive>,
+    /// Tenants whose demand is beyond their rate limit.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub restrictions: Vec<Restriction>,
 }
 
 /// Answers the reports of other nodes.
--- a/src/coordination/tests/coordinator.rs
+++ b/src/coordination/tests/coordinator.rs
@@ -90,6 +90,7 @@
             routes: vec![tally],
             ..VersionReport::default()
         }),
+        ..Report::default()
     }
 }
 
--- a/src/coordination/tests/local.rs
+++ b/src/coordination/tests/local.rs
@@ -38,6 +38,7 @@
     };
     let directives = Directives {
         rollouts: vec![directive],
+        ..Directives::default()
     };
     local.on_directives(Time::ZERO, &directives);
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -76,7 +76,22 @@
             routable.trace,
             Role::Entry,
         );
-        match self.forward_with_claim(call, &mut routable, upload).await {
+        let call_result = match self.admit_tenant(&routable) {
+            Ok(admission) => {
+                let call_result = self.forward_with_claim(call, &mut routable, upload).await;
+                if matches!(call_result, CallResult::NotRun(_)) {
+                    admission.refund(self);
+                }
+                call_result
+            }
+            Err(retry_after) => {
+                let reason = Reason::RateLimited;
+                recording.end(CallOutcome::NotRun(reason));
+                self.report_refusal(&routable, reason);
+                return self.refusal_response(call.refuse(reason), retry_after, "");
+            }
+        };
+        match call_result {
             CallResult::Answered(response) => {
                 recording.end(CallOutcome::Answered(response.status()));
                 response
@@ -93,6 +108,33 @@
         }
     }
 
+    /// Counts the call against the rate limit of its tenant.
+    ///
+    /// `Err` holds the time after which the caller may try again, different for each caller.
+    fn admit_tenant(&self, routable: &Routable) -> Result<TenantAdmission, Duration> {
+        let plan = &routable.snapshot.plan;
+        let tenant = routable.tenant.map(|key| plan.tenant(key));
+        let limited = tenant.and_then(|tenant| Some((&tenant.name, tenant.rate_limit?)));
+        let Some((name, limit)) = limited else {
+            return Ok(TenantAdmission { tenant: None });
+        };
+        let now = self.parts.clock.now();
+        let nodes = routable.snapshot.view.len();
+        let admitted = self.parts.local.admit(now, name, limit, nodes);
+        admitted.map_err(|wait| wait.mul_f64(1.0 + self.router().random_fraction()))?;
+        Ok(TenantAdmission {
+            tenant: Some(name.clone()),
+        })
+    }
+
+    /// Writes the decision line of a call that was refused before any attempt.
+    fn report_refusal(&self, routable: &Routable, reason: Reason) {
+        self.parts.observer.event(Event::Refused(reason));
+        if let Some(recorder) = self.decision_recorder(routable) {
+            recorder.end(CallOutcome::NotRun(reason));
+        }
+    }
+
     /// Forwards a call, after claiming its idempotency key if it has one.
     ///
     /// The claim is released if the call did not run.
@@ -380,6 +422,19 @@
     }
 }
 
+/// Count of a call against the rate limit of its tenant, if that has one.
+struct TenantAdmission {
+    tenant: Option<String>,
+}
+
+impl TenantAdmission {
+    fn refund(&self, entry: &Entry) {
+        if let Some(tenant) = &self.tenant {
+            entry.parts.local.refund(tenant);
+        }
+    }
+}
+
 /// A call whose deadline is not known before the checks; `Call::route` sets it.
 const fn received() -> Call<Received> {
     Call::<Received>::receive(Time::from_micros(u64::MAX))
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -31,6 +31,7 @@
 //!     clock: Clock::start(),
 //!     dialect: Arc::new(monsooncove::dialect::Native),
 //!     observer,
+//!     local: Arc::default(),
 //!     ids: Arc::new(call::IdGenerator::new(1)),
 //!     stopping: CancellationToken::new(),
 //!     settings: entry::Settings::default(),
@@ -77,6 +78,7 @@
 use crate::backend::Executor;
 use crate::call::{IdGenerator, Observer, SnapshotSource};
 use crate::clock::{Clock, Time};
+use crate::coordination::Local;
 use crate::dialect::Dialect;
 use crate::peer::Links;
 use crate::routing::{Location, Router};
@@ -110,6 +112,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Receiver of metrics, traces and decision lines.
     pub observer: Arc<dyn Observer>,
+    /// Rate limits of tenants.
+    pub local: Arc<Local>,
     /// Source of call and span ids.
     pub ids: Arc<IdGenerator>,
     /// Cancelled when the node stops. HTTP/1 responses then carry `connection: close`, so that
--- a/src/entry/tests/test_cluster.rs
+++ b/src/entry/tests/test_cluster.rs
@@ -283,6 +283,7 @@
             clock,
             dialect: Arc::new(Native),
             observer: recorder.clone(),
+            local: Arc::clone(&executor.local),
             ids,
             stopping: stopping.clone(),
             settings: spec.entry,
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -346,7 +346,7 @@
         }
         let shed_id = self
             .queue
-            .pop_lowest_below(arrival.worth)
+            .pop_lowest_below(arrival.call_id)
             .unwrap_or(arrival.call_id);
         self.queue.remove(shed_id);
         self.refuse(shed_id, Reason::Overloaded, actions);
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -26,6 +26,7 @@
 mod start;
 #[cfg(test)]
 mod tests;
+mod turns;
 
 use std::time::Duration;
 
@@ -50,6 +51,10 @@
     pub const UNKNOWN: Self = Self(0);
 }
 
+/// Tenant whose calls share their turns at a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub u64);
+
 /// A call that requests admission.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Arrival {
@@ -63,6 +68,8 @@
     pub objective: Option<Time>,
     /// Class whose service time the call shares.
     pub class: CallClass,
+    /// Tenant of the call. Tenants share the starts evenly among calls of one worth.
+    pub tenant: Option<TenantId>,
     /// Time by which the call must start; otherwise it is refused so that its entry can use another
     /// gate.
     pub start_deadline: Option<Time>,
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -1,6 +1,6 @@
 //! Priority queue of the calls that wait at a gate.
 //!
-//! The highest worth goes first, then the earliest deadline. A call waits as long as it can still
+//! The highest worth goes first, then the earliest turn among tenants, then the earliest deadline. A call waits as long as it can still
 //! meet its objective. After that it is refused, so that its entry can try another gate or its
 //! caller can retry.
 
@@ -9,7 +9,8 @@
 
 use crate::clock::Time;
 
-use super::{Arrival, CallId};
+use super::turns::{Turn, Turns};
+use super::{Arrival, CallId, TenantId};
 
 /// Priority of a queued call; the smallest value is admitted first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -17,6 +18,7 @@
     /// Calls that can no longer meet their objective go last.
     past_objective: bool,
     worth: Reverse<u32>,
+    turn: Turn,
     deadline: Time,
     sequence: u64,
 }
@@ -38,6 +40,7 @@
 #[derive(Clone, Copy, Debug)]
 struct QueuedCall {
     rank: Rank,
+    tenant: Option<TenantId>,
     start_deadlines: StartDeadlines,
 }
 
@@ -49,18 +52,21 @@
     by_final_deadline: BTreeSet<(Time, CallId)>,
     by_objective_deadline: BTreeSet<(Time, CallId)>,
     by_entry_deadline: BTreeSet<(Time, CallId)>,
+    turns: Turns,
     sequence: u64,
 }
 
 impl Queue {
     pub(super) fn push(&mut self, arrival: &Arrival, start_deadlines: StartDeadlines) {
         let rank = self.rank(arrival, start_deadlines.past_objective);
+        self.turns.take(arrival.tenant);
         self.sequence += 1;
         self.by_rank.insert(rank, arrival.call_id);
         self.calls.insert(
             arrival.call_id,
             QueuedCall {
                 rank,
+                tenant: arrival.tenant,
                 start_deadlines,
             },
         );
@@ -76,14 +82,29 @@
         }
     }
 
+    /// Removes a call that does not start here.
     pub(super) fn remove(&mut self, call_id: CallId) -> bool {
-        let Some(QueuedCall {
-            rank,
-            start_deadlines,
-        }) = self.calls.remove(&call_id)
-        else {
+        let Some(call) = self.take(call_id) else {
             return false;
         };
+        self.turns.give_back(call.tenant);
+        true
+    }
+
+    /// Removes a call that starts.
+    pub(super) fn start(&mut self, call_id: CallId) {
+        if let Some(call) = self.take(call_id) {
+            self.turns.start(call.rank.turn);
+        }
+    }
+
+    fn take(&mut self, call_id: CallId) -> Option<QueuedCall> {
+        let call = self.calls.remove(&call_id)?;
+        let QueuedCall {
+            rank,
+            start_deadlines,
+            ..
+        } = call;
         self.by_rank.remove(&rank);
         self.by_final_deadline
             .remove(&(start_deadlines.final_deadline, call_id));
@@ -94,7 +115,7 @@
         if let Some(entry_deadline) = start_deadlines.entry_deadline {
             self.by_entry_deadline.remove(&(entry_deadline, call_id));
         }
-        true
+        Some(call)
     }
 
     pub(super) fn contains(&self, call_id: CallId) -> bool {
@@ -112,11 +133,13 @@
         Some(call_id)
     }
 
-    /// Removes the call that would be admitted last if it is worth less than `worth` or past its
-    /// objective.
-    pub(super) fn pop_lowest_below(&mut self, worth: u32) -> Option<CallId> {
+    /// Removes the call that would be admitted last if it is past its objective, worth less than
+    /// the queued call `arrived`, or has a later turn.
+    pub(super) fn pop_lowest_below(&mut self, arrived: CallId) -> Option<CallId> {
+        let own = self.calls.get(&arrived)?.rank;
         let (rank, &call_id) = self.by_rank.last_key_value()?;
-        if rank.worth.0 >= worth && !rank.past_objective {
+        let is_lower = (rank.worth, rank.turn) > (own.worth, own.turn);
+        if !is_lower && !rank.past_objective {
             return None;
         }
         self.remove(call_id);
@@ -189,10 +212,11 @@
         self.calls.is_empty()
     }
 
-    const fn rank(&self, arrival: &Arrival, past_objective: bool) -> Rank {
+    fn rank(&self, arrival: &Arrival, past_objective: bool) -> Rank {
         Rank {
             past_objective,
             worth: Reverse(arrival.worth),
+            turn: self.turns.peek(arrival.tenant),
             deadline: arrival.deadline,
             sequence: self.sequence,
         }
--- a/src/gate/start.rs
+++ b/src/gate/start.rs
@@ -78,7 +78,7 @@
     }
 
     fn start_call(&mut self, now: Time, call_id: CallId) {
-        self.queue.remove(call_id);
+        self.queue.start(call_id);
         self.cold_rate_limit.record(now);
         let running_call = RunningCall {
             class: self.queued_classes.remove(&call_id).unwrap_or_default(),
--- a/src/gate/tests/cold_retries.rs
+++ b/src/gate/tests/cold_retries.rs
@@ -68,6 +68,7 @@
         objective: Some(after(objective_ms)),
         class: CLASS,
         start_deadline: None,
+        tenant: None,
     };
     let now = harness.now;
     harness.gate.on_arrival(now, arrival, &mut harness.actions);
--- a/src/gate/tests/mod.rs
+++ b/src/gate/tests/mod.rs
@@ -2,6 +2,7 @@
 mod cold_rate_limit;
 mod cold_retries;
 mod failures;
+mod fair_turns;
 mod harness;
 mod invariants;
 mod queueing;
--- a/src/gate/tests/queueing.rs
+++ b/src/gate/tests/queueing.rs
@@ -42,6 +42,7 @@
         objective: objective_ms.map(after),
         class: CLASS,
         start_deadline: None,
+        tenant: None,
     };
     let now = harness.now;
     harness.gate.on_arrival(now, arrival, &mut harness.actions);
--- a/src/gate/tests/slowdown.rs
+++ b/src/gate/tests/slowdown.rs
@@ -52,6 +52,7 @@
         objective: Some(after(objective_ms)),
         class: CLASS,
         start_deadline: start_within_ms.map(after),
+        tenant: None,
     };
     let now = harness.now;
     harness.gate.on_arrival(now, arrival, &mut harness.actions);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod node;
 pub mod peer;
 pub mod plan;
+pub mod quota;
 pub mod reason;
 pub mod rollout;
 pub mod routing;
--- a/src/node/coordinate.rs
+++ b/src/node/coordinate.rs
@@ -13,7 +13,11 @@
 use crate::membership::{ClusterSnapshot, Handle};
 use crate::routing::Router;
 
-/// Time between two reports in a small fleet.
+/// Time between two reports of calls in a small fleet.
+const USAGE_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two reports, when the demand of a tenant jumps.
+const EARLY_REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Time between two reports during a roll-out in a small fleet.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// The same while a roll-out is about to change.
 const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -42,12 +46,19 @@
         let mut silent_until: BTreeMap<String, Time> = BTreeMap::new();
         loop {
             let snapshot = self.handle.snapshot();
-            if snapshot.plan.rollouts.is_empty() {
+            let plan = &snapshot.plan;
+            if plan.rollouts.is_empty() && !plan.has_rate_limits() {
                 self.handle.changed().await;
                 continue;
             }
             self.report(&snapshot, &mut silent_until).await;
-            sleep(self.report_interval(snapshot.view.len())).await;
+            sleep(EARLY_REPORT_INTERVAL).await;
+            let interval = self.report_interval(&snapshot);
+            let rest = interval.saturating_sub(EARLY_REPORT_INTERVAL);
+            tokio::select! {
+                () = sleep(rest) => {}
+                () = self.local.report_overdue() => {}
+            }
         }
     }
 
@@ -70,11 +81,14 @@
     async fn send(&self, coordinator: &str, address: SocketAddr) -> Option<Directives> {
         let load = self.executor.load();
         let in_hand = load.in_hand + load.queued;
+        let (usage, period) = self.local.take_usage(self.clock.now());
         let report = Report {
             instance: self.instance.clone(),
             version: self
                 .local
                 .version_report(self.clock.now(), load.accepting, in_hand),
+            usage,
+            usage_ms: u64::try_from(period.as_millis()).unwrap_or(u64::MAX),
         };
         if coordinator == self.instance {
             return Some(self.desk.on_report(report));
@@ -84,10 +98,12 @@
 
     /// Reports become rarer as the fleet grows, so that a coordinator hears a bounded number a
     /// second. They come sooner around a cutover, which lasts a second or so.
-    fn report_interval(&self, nodes: usize) -> Duration {
-        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    fn report_interval(&self, snapshot: &ClusterSnapshot) -> Duration {
+        let nodes = u32::try_from(snapshot.view.len()).unwrap_or(u32::MAX);
         let interval = if self.local.is_urgent() {
             URGENT_REPORT_INTERVAL
+        } else if snapshot.plan.rollouts.is_empty() {
+            USAGE_REPORT_INTERVAL
         } else {
             REPORT_INTERVAL
         };
--- a/src/node/path.rs
+++ b/src/node/path.rs
@@ -127,7 +127,7 @@
         let reporter = Reporter {
             handle: handle.clone(),
             desk: blueprint.desk,
-            local: blueprint.local,
+            local: Arc::clone(&blueprint.local),
             transport: blueprint.links.clone(),
             router: Arc::clone(&router),
             executor: Arc::clone(&executor),
@@ -145,6 +145,7 @@
             clock: blueprint.clock,
             dialect: blueprint.dialect,
             observer: blueprint.observer,
+            local: blueprint.local,
             ids: blueprint.ids,
             stopping: stopping.clone(),
             settings: tuning.entry,
--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -254,6 +254,14 @@
         Ok(tenant.copied())
     }
 
+    /// Whether any tenant has a rate limit.
+    #[must_use]
+    pub fn has_rate_limits(&self) -> bool {
+        self.tenants
+            .iter()
+            .any(|tenant| tenant.rate_limit.is_some())
+    }
+
     /// Worth of a call against others: first by the priority of its tenant, then by its route.
     /// A call of no tenant belongs to another call, which has had its turn.
     #[must_use]
--- /dev/null
+++ b/src/quota/ledger.rs
@@ -0,0 +1,177 @@
+//! Token buckets of the tenants at the coordinator.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Restriction, TenantUsage};
+use crate::clock::Time;
+use crate::plan::RateLimit;
+
+/// Time over which saved tokens are spent.
+const SAVINGS_HORIZON_S: f64 = 2.0;
+/// Time over which a debt is paid back.
+const DEBT_HORIZON_S: f64 = 1.0;
+/// Part of a burst that is saved. The rest covers calls that are admitted while counts travel.
+const SAVED_BURST_SHARE: f64 = 0.5;
+/// Fleet beyond which less is saved, because reports become rarer.
+const NODES_WITH_FULL_SAVINGS: usize = 128;
+/// Calls that may be saved whatever the part, and with which a new bucket begins.
+const SAVED_CALLS_MIN: f64 = 10.0;
+/// Time after which a silent node is not counted as heard.
+const NODE_LIFETIME: Duration = Duration::from_millis(2_500);
+/// Shortest and longest time over which the demand of a node is taken, in seconds.
+const DEMAND_TIME_MIN_S: f64 = 0.4;
+const DEMAND_TIME_MAX_S: f64 = 3.0;
+/// Smallest part of a limit that is given out while a debt is paid back.
+const PAYBACK_SHARE_MIN: f64 = 0.05;
+/// Debt beyond this time at the full rate is forgotten.
+const DEBT_MAX_S: f64 = 10.0;
+
+/// What the coordinator knows of all entries.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    started_at: Option<Time>,
+    accounts: BTreeMap<String, Account>,
+    heard: BTreeMap<String, Time>,
+}
+
+/// Parts of each limit that this coordinator gives out and saves.
+#[derive(Clone, Copy, Debug)]
+struct Fleet {
+    heard_part: f64,
+    saved_part: f64,
+}
+
+/// Bucket and demand of one tenant.
+#[derive(Debug)]
+struct Account {
+    limit: RateLimit,
+    /// Tokens; below zero if more was admitted than the limit allows.
+    level: f64,
+    /// Calls a second that ask, by node, over the time of its last report.
+    demand_per_s: BTreeMap<String, f64>,
+    updated_at: Time,
+}
+
+impl Ledger {
+    /// Takes in the counts of an entry over `period`. `limit` gives the limit of a tenant, and `nodes` is the
+    /// size of the fleet.
+    pub fn on_report(
+        &mut self,
+        now: Time,
+        node: &str,
+        usage: &[TenantUsage],
+        period: Duration,
+        nodes: usize,
+        limit: impl Fn(&str) -> Option<RateLimit>,
+    ) {
+        self.started_at.get_or_insert(now);
+        self.heard.insert(node.to_owned(), now);
+        let seconds = period.as_secs_f64();
+        let seconds = seconds.clamp(DEMAND_TIME_MIN_S, DEMAND_TIME_MAX_S);
+        let fleet = self.fleet(now, nodes);
+        for account in self.accounts.values_mut() {
+            account.demand_per_s.remove(node);
+        }
+        for usage in usage {
+            let Some(limit) = limit(&usage.tenant) else {
+                self.accounts.remove(&usage.tenant);
+                continue;
+            };
+            let account = self
+                .accounts
+                .entry(usage.tenant.clone())
+                .or_insert_with(|| Account::new(now, limit));
+            account.advance(now, limit, fleet);
+            account.level -= f64::from(usage.admitted);
+            let per_s = f64::from(usage.asked) / seconds;
+            account.demand_per_s.insert(node.to_owned(), per_s);
+        }
+    }
+
+    /// Restrictions in force.
+    pub fn restrictions(&mut self, now: Time, nodes: usize) -> Vec<Restriction> {
+        let fleet = self.fleet(now, nodes);
+        let accounts = self.accounts.iter_mut();
+        let restricted = accounts.filter_map(|(tenant, account)| {
+            account.advance(now, account.limit, fleet);
+            let share = account.share(fleet.heard_part);
+            (share < 1.0).then(|| Restriction {
+                tenant: tenant.clone(),
+                share,
+            })
+        });
+        restricted.collect()
+    }
+
+    fn fleet(&mut self, now: Time, nodes: usize) -> Fleet {
+        let heard_part = self.heard_part(now, nodes);
+        let hundreds = nodes.div_ceil(NODES_WITH_FULL_SAVINGS).max(1);
+        Fleet {
+            heard_part,
+            saved_part: heard_part * SAVED_BURST_SHARE / number(hundreds),
+        }
+    }
+
+    /// Part of the fleet that reports here. Another coordinator may hear the rest, so only this
+    /// part of each limit is given out. A new coordinator has not heard all of its nodes yet.
+    fn heard_part(&mut self, now: Time, nodes: usize) -> f64 {
+        self.heard.retain(|_, at| now.since(*at) < NODE_LIFETIME);
+        for account in self.accounts.values_mut() {
+            account
+                .demand_per_s
+                .retain(|node, _| self.heard.contains_key(node));
+        }
+        let is_new = self
+            .started_at
+            .is_none_or(|started_at| now.since(started_at) < NODE_LIFETIME);
+        if is_new {
+            return 1.0;
+        }
+        (number(self.heard.len()) / number(nodes).max(1.0)).min(1.0)
+    }
+}
+
+impl Account {
+    /// Begins with a few calls only: another coordinator may have given the burst out.
+    fn new(now: Time, limit: RateLimit) -> Self {
+        Self {
+            limit,
+            level: limit.burst.min(SAVED_CALLS_MIN),
+            demand_per_s: BTreeMap::new(),
+            updated_at: now,
+        }
+    }
+
+    fn advance(&mut self, now: Time, limit: RateLimit, fleet: Fleet) {
+        let seconds = now.since(self.updated_at).as_secs_f64();
+        self.updated_at = self.updated_at.max(now);
+        self.limit = limit;
+        let debt_max = limit.per_s * DEBT_MAX_S;
+        let level = self.level + limit.per_s * fleet.heard_part * seconds;
+        let saved = (limit.burst * fleet.saved_part).max(SAVED_CALLS_MIN);
+        self.level = level.min(limit.burst.min(saved)).max(-debt_max);
+    }
+
+    /// Share of the demand that the rate, and what is saved or owed, allow.
+    fn share(&self, part: f64) -> f64 {
+        let per_s = self.limit.per_s * part;
+        let horizon = if self.level > 0.0 {
+            SAVINGS_HORIZON_S
+        } else {
+            DEBT_HORIZON_S
+        };
+        let allowed = per_s + self.level / horizon;
+        let allowed = allowed.max(per_s * PAYBACK_SHARE_MIN);
+        let demand: f64 = self.demand_per_s.values().sum();
+        if allowed >= demand {
+            1.0
+        } else {
+            allowed / demand
+        }
+    }
+}
+
+fn number(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
