A store that comes back older: eras in the position of a change

Revisions were compared as bare numbers, so after a drill with an older copy every change would have looked old and watches would have waited for numbers that were passed long ago. The position of a change now holds the era before the number. Watches and conditions of an earlier era are answered without a call, answers of one are not followed, and records that the copy lacks hold for 15 s.

--- a/src/membership/direct/plan_replica.rs
+++ b/src/membership/direct/plan_replica.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::plan::{Plan, Version};
-use crate::store::{Change, Listing, Record};
+use crate::store::{Change, Listing, Record, Revision};
 
 use super::{PlanSource, RecordError};
 
@@ -53,7 +53,11 @@
             return;
         }
         let newest_revision = newest_revision(&listing.records);
-        let records = records_by_key(listing.records);
+        let mut records = records_by_key(listing.records);
+        if listing.revision.era() > Revision(self.version.0).era() {
+            return self.enter_era(listing.revision, records);
+        }
+        self.keep_earlier_era(&mut records);
         let is_missing = |key: &String| !records.contains_key(key);
         let version = if self.records.keys().any(is_missing) {
             Version(listing.revision.0)
@@ -63,6 +67,46 @@
         self.replace_if_newer(version, records);
     }
 
+    /// Takes in the listing of a store that came back from an older copy. Records that the copy
+    /// lacks are kept, because the operators write them again.
+    fn enter_era(&mut self, revision: Revision, mut records: BTreeMap<String, Record>) {
+        for (key, record) in &self.records {
+            records.entry(key.clone()).or_insert_with(|| record.clone());
+        }
+        self.version = Version(revision.0);
+        self.records = records;
+    }
+
+    /// Keeps records of an earlier era, which no listing of this one can hold.
+    fn keep_earlier_era(&self, records: &mut BTreeMap<String, Record>) {
+        let era = Revision(self.version.0).era();
+        let earlier = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.revision.era() < era);
+        for (key, record) in earlier {
+            records.entry(key.clone()).or_insert_with(|| record.clone());
+        }
+    }
+
+    /// Whether records of an earlier era are kept.
+    #[must_use]
+    pub fn has_earlier_era(&self) -> bool {
+        let era = Revision(self.version.0).era();
+        self.records
+            .values()
+            .any(|record| record.revision.era() < era)
+    }
+
+    /// Gives up the records of earlier eras, which the operators have not written again. The next
+    /// [`Self::take_plan`] compiles the rest.
+    pub fn remove_earlier_era(&mut self) {
+        let era = Revision(self.version.0).era();
+        self.records
+            .retain(|_, record| record.revision.era() >= era);
+        self.compiled_version = None;
+    }
+
     /// Replaces the records by those of a peer if they are newer.
     pub fn merge_from_peer(&mut self, version: Version, records: Vec<Record>) {
         self.replace_if_newer(version, records_by_key(records));
--- a/src/membership/direct/shared.rs
+++ b/src/membership/direct/shared.rs
@@ -25,6 +25,9 @@
 /// Time between two removals of expired announcements.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time for which records are kept that the store lost when it came back from an older copy.
+const EARLIER_ERA_RETENTION: Duration = Duration::from_secs(15);
+
 /// Time for which a relay may know a newer roster than this node, beyond the pause between watches.
 const ROSTER_LAG_LIMIT: Duration = Duration::from_secs(1);
 
@@ -108,6 +111,8 @@
     departure_log: DepartureLog,
     own: Option<Instance>,
     plan: Arc<Plan>,
+    /// When records of an earlier era were first seen.
+    earlier_era_since: Option<Time>,
 }
 
 impl Shared {
@@ -136,6 +141,7 @@
                 departure_log: DepartureLog::default(),
                 own: None,
                 plan: Arc::default(),
+                earlier_era_since: None,
             }),
             name: settings.name.clone(),
             region: settings.region.clone(),
@@ -598,6 +604,20 @@
             if state.roster.remove_expired(now) {
                 self.publish(&mut state);
             }
+            self.expire_earlier_era(now, &mut state);
+        }
+    }
+
+    /// Gives up records that the operators have not written again after the store came back.
+    fn expire_earlier_era(&self, now: Time, state: &mut Inner) {
+        if !state.plan_replica.has_earlier_era() {
+            state.earlier_era_since = None;
+            return;
+        }
+        let since = *state.earlier_era_since.get_or_insert(now);
+        if now.since(since) >= EARLIER_ERA_RETENTION {
+            state.plan_replica.remove_earlier_era();
+            self.compile(state);
         }
     }
 
--- a/src/membership/direct/tests/plan_replica.rs
+++ b/src/membership/direct/tests/plan_replica.rs
@@ -130,7 +130,83 @@
     assert_eq!(version(&mut plan_replica), Some(15));
 }
 
+/// A replica at plan 7 of era 0, with a zone that is out.
+fn with_zone_out() -> PlanReplica {
+    let mut replica = PlanReplica::new(Arc::new(NumberSource));
+    let records = vec![
+        record("plan/text", "7", 400),
+        record("plan/out/a", "{}", 410),
+    ];
+    replica.on_listed(listing(410, records));
+    replica
+        .take_plan()
+        .expect("it can be read")
+        .expect("a plan");
+    replica
+}
+
+fn in_era(number: u64) -> u64 {
+    Revision::in_era(1, number).0
+}
+
+/// Plans of the listing of a store that came back with these records, at a lower number.
+fn after_return(records: Vec<Record>) -> (PlanReplica, Result<Option<Plan>, RecordError>) {
+    let mut replica = with_zone_out();
+    replica.on_listed(listing(in_era(390), records));
+    let plan = replica.take_plan();
+    (replica, plan)
+}
+
+fn keys(replica: &PlanReplica) -> Vec<String> {
+    replica
+        .records()
+        .into_iter()
+        .map(|record| record.key)
+        .collect()
+}
+
+/// Guards against an older plan that a copy brings back.
+fn older_plan_of_a_copy_is_refused() {
+    let (mut replica, plan) = after_return(vec![record("plan/text", "6", in_era(380))]);
+    assert_eq!(plan, Ok(None));
+    let newer = record("plan/text", "7", in_era(395));
+    replica.on_changes(vec![Change::Put(newer)]);
+    let plan = replica.take_plan().expect("it can be read");
+    assert_eq!(plan.map(|plan| plan.version), Some(Version(in_era(395))));
+}
+
+/// Guards against a zone that is back in service because the copy does not know better.
+fn record_that_the_copy_lacks_is_kept() {
+    let (mut replica, _) = after_return(vec![record("plan/text", "7", in_era(380))]);
+    assert_eq!(keys(&replica), ["plan/out/a", "plan/text"]);
+    assert!(replica.has_earlier_era());
+    let again = vec![record("plan/text", "7", in_era(380))];
+    replica.on_listed(listing(in_era(400), again));
+    assert_eq!(keys(&replica), ["plan/out/a", "plan/text"]);
+    replica.remove_earlier_era();
+    assert_eq!(keys(&replica), ["plan/text"]);
+    assert!(replica.take_plan().expect("it can be read").is_some());
+}
+
+fn record_that_is_written_again_is_not_given_up() {
+    let (mut replica, _) = after_return(vec![record("plan/text", "7", in_era(380))]);
+    let again = record("plan/out/a", "{}", in_era(391));
+    replica.on_changes(vec![Change::Put(again)]);
+    assert!(!replica.has_earlier_era());
+}
+
+/// Guards against a late answer of the era before.
+fn listing_of_the_earlier_era_is_ignored() {
+    let (mut replica, _) = after_return(vec![record("plan/text", "7", in_era(380))]);
+    replica.on_listed(listing(9_000, vec![record("plan/text", "3", 9_000)]));
+    assert_eq!(replica.version(), Version(in_era(390)));
+}
+
 cases! {
+    copy_brings_no_older_plan_back: older_plan_of_a_copy_is_refused();
+    zone_out_outlives_a_copy_that_lacks_it: record_that_the_copy_lacks_is_kept();
+    record_written_again_is_of_the_new_era: record_that_is_written_again_is_not_given_up();
+    late_listing_of_the_earlier_era_is_ignored: listing_of_the_earlier_era_is_ignored();
     listing_shows_that_a_record_was_deleted: listing_that_lacks_a_record();
     other_node_tells_what_the_store_will_tell_late: records_from_another_node();
     version_is_the_revision_of_the_newest_change: assert_eq!(version(&mut plan_replica("7")), Some(4));
--- a/src/store/http/mod.rs
+++ b/src/store/http/mod.rs
@@ -6,6 +6,7 @@
 
 mod backoff;
 mod budget;
+mod era;
 mod json;
 pub mod protocol;
 #[cfg(test)]
@@ -16,8 +17,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Uri;
 use http::uri::{Authority, Scheme};
+use http::{HeaderMap, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -30,6 +31,7 @@
 
 use backoff::Backoff;
 use budget::Budget;
+use era::{KnownEra, WentBack};
 use protocol::{Answer, Call, Failure, Page, Protocol, refused};
 
 pub use json::Json;
@@ -86,6 +88,7 @@
     protocol: P,
     pool: Pool<HttpConnector, Full<Bytes>>,
     pace: Mutex<Pace>,
+    era: KnownEra,
 }
 
 #[derive(Debug)]
@@ -121,6 +124,7 @@
             protocol,
             pool,
             pace: Mutex::new(pace),
+            era: KnownEra::default(),
         }
     }
 
@@ -139,6 +143,9 @@
     }
 
     async fn attempt(&self, call: &Call<'_>) -> std::result::Result<Answer, Failure> {
+        if let Some(answer) = era::outdated_answer(call, self.era.get()) {
+            return Ok(answer);
+        }
         if !self.pace().budget.take() {
             return Err(Failure::Final(Error::Budget));
         }
@@ -153,7 +160,7 @@
     }
 
     async fn exchange(&self, call: &Call<'_>) -> std::result::Result<Answer, Failure> {
-        let (mut head, body) = self.protocol.request(call)?.into_parts();
+        let (mut head, body) = self.request(call)?.into_parts();
         head.uri = self.target(&head.uri)?;
         let request = http::Request::from_parts(head, Full::new(body));
         let response = self.pool.request(request).await.map_err(|error| {
@@ -165,12 +172,47 @@
             }
         })?;
         let status = response.status();
+        let era = self.observe_era(response.headers())?;
         let answer = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES)
             .collect()
             .await
             .map_err(|error| Failure::Unknown(self.unreachable(&error.to_string())))?
             .to_bytes();
-        self.protocol.answer(call, status, &answer)
+        let answer = self.protocol.answer(call, status, &answer)?;
+        Ok(era::lift(call, era, answer))
+    }
+
+    /// The request of a call, with revisions as the store counts.
+    fn request(&self, call: &Call<'_>) -> std::result::Result<http::Request<Bytes>, Failure> {
+        match *call {
+            Call::Write(write) => self
+                .protocol
+                .request(&Call::Write(&era::lower_write(write))),
+            Call::Watch {
+                prefix,
+                after,
+                wait,
+            } => self.protocol.request(&Call::Watch {
+                prefix,
+                after: Revision(after.within_era()),
+                wait,
+            }),
+            _ => self.protocol.request(call),
+        }
+    }
+
+    /// Era of an answer. One that goes back is a fault of the store, or comes late.
+    fn observe_era(&self, headers: &HeaderMap) -> std::result::Result<u32, Failure> {
+        let told = self.protocol.era(headers).unwrap_or_else(|cause| {
+            log::warn!("the store's era cannot be read ({cause}); the newest one known stays");
+            None
+        });
+        self.era.observe(told).map_err(|WentBack { known, told }| {
+            log::warn!(
+                "an answer of the store is from era {told}, before era {known}; it is not followed"
+            );
+            Failure::Unknown(refused(&"its era went back"))
+        })
     }
 
     /// The whole target, as the pool finds connections by it.
--- a/src/store/http/protocol.rs
+++ b/src/store/http/protocol.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 
 use crate::store::{Error, Lease, Listing, Outcome, Record, Revision, Watched, Write};
 
@@ -110,6 +110,15 @@
     /// Fails when the call cannot be put into a request.
     fn request(&self, call: &Call<'_>) -> Result<Request<Bytes>, Failure>;
 
+    /// Era that an answer names; `None` for a store without eras.
+    ///
+    /// # Errors
+    ///
+    /// Tells what was found in place of a number.
+    fn era(&self, _headers: &HeaderMap) -> Result<Option<u32>, String> {
+        Ok(None)
+    }
+
     /// The answer to `call`.
     ///
     /// # Errors
--- a/src/store/http/tests.rs
+++ b/src/store/http/tests.rs
@@ -233,3 +233,72 @@
     }
     assert_eq!(backoff.next(&mut rng), None);
 }
+
+mod eras {
+    //! Answers and calls around the return of a store from an older copy.
+
+    use std::time::Duration;
+
+    use crate::store::http::era::{self, KnownEra, WentBack};
+    use crate::store::http::protocol::{Answer, Call};
+    use crate::store::{Expect, Outcome, Revision, Watched, Write, WriteId};
+
+    const OLD: Revision = Revision::in_era(1, 500);
+
+    const fn watch() -> Call<'static> {
+        Call::Watch {
+            prefix: "a/",
+            after: OLD,
+            wait: Duration::ZERO,
+        }
+    }
+
+    fn write() -> Write {
+        Write {
+            key: "a/b".into(),
+            value: None,
+            expect: Expect::Revision(OLD),
+            lease: None,
+            id: WriteId(1),
+        }
+    }
+
+    fn changes(revision: u64) -> Answer {
+        Answer::Watched(Watched::Changes {
+            revision: Revision(revision),
+            changes: Vec::new(),
+        })
+    }
+
+    cases! {
+        later_era_orders_before_a_higher_number: assert!(Revision::in_era(2, 3) > OLD);
+        position_has_its_parts: assert_eq!((OLD.era(), OLD.within_era()), (1, 500));
+        store_without_eras_counts_plainly: assert_eq!(Revision::in_era(0, 500), Revision(500));
+        answer_is_lifted_into_its_era:
+            assert_eq!(era::lift(&watch(), 1, changes(501)), changes(Revision::in_era(1, 501).0));
+        watch_of_an_earlier_era_has_lost_its_history:
+            assert_eq!(era::lift(&watch(), 2, changes(501)), Answer::Watched(Watched::Compacted));
+        watch_of_an_earlier_era_is_not_sent: assert_eq!(
+            era::outdated_answer(&watch(), 2),
+            Some(Answer::Watched(Watched::Compacted))
+        );
+        condition_of_an_earlier_era_does_not_hold: assert_eq!(
+            era::outdated_answer(&Call::Write(&write()), 2),
+            Some(Answer::Written(Outcome::NotApplied(None)))
+        );
+        call_of_the_newest_era_is_sent: assert_eq!(era::outdated_answer(&watch(), 1), None);
+        condition_is_sent_as_the_store_counts:
+            assert_eq!(era::lower_write(&write()).expect, Expect::Revision(Revision(500)));
+        era_that_goes_back_is_not_followed: {
+            let known = KnownEra::default();
+            assert_eq!(known.observe(Some(2)), Ok(2));
+            assert_eq!(known.observe(Some(1)), Err(WentBack { known: 2, told: 1 }));
+            assert_eq!(known.get(), 2);
+        };
+        answer_without_an_era_is_of_the_newest: {
+            let known = KnownEra::default();
+            assert_eq!(known.observe(Some(2)), Ok(2));
+            assert_eq!(known.observe(None), Ok(2));
+        };
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -19,11 +19,38 @@
 /// Result of a store call.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Counts every change in the store.
+/// Bits of a revision that count within an era.
+const ERA_SHIFT: u32 = 44;
+
+/// Position of a change in the store: its era, then its number within the era.
+///
+/// A store that comes back from an older copy begins a new era and gives numbers out again. A
+/// store without eras stays in era 0, where the position is the number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// The change with this number in an era.
+    #[must_use]
+    pub const fn in_era(era: u32, number: u64) -> Self {
+        Self((era as u64) << ERA_SHIFT | number)
+    }
+
+    /// The era.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation)] // 20 bits are left.
+    pub const fn era(self) -> u32 {
+        (self.0 >> ERA_SHIFT) as u32
+    }
+
+    /// The number within the era.
+    #[must_use]
+    pub const fn within_era(self) -> u64 {
+        self.0 & ((1 << ERA_SHIFT) - 1)
+    }
+}
+
 /// Chosen by the writer and stored with the value.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
