--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -7,16 +7,17 @@
 use crate::clock::Time;
 use crate::plan::RateLimit;
 
-/// Time over which saved tokens are spent.
-const SAVINGS_HORIZON_S: f64 = 2.0;
-/// Time over which a debt is paid back.
-const DEBT_HORIZON_S: f64 = 1.0;
+/// Time over which saved tokens are spent, and over which a debt is paid back.
+const HORIZON_S: f64 = 1.0;
 /// Part of a burst that is saved. The rest covers calls that are admitted while counts travel.
 const SAVED_BURST_SHARE: f64 = 0.5;
 /// Fleet beyond which less is saved, because reports become rarer.
 const NODES_WITH_FULL_SAVINGS: usize = 128;
-/// Calls that may be saved whatever the part, and with which a new bucket begins.
+/// Calls that may be saved whatever the burst, and with which a new bucket begins. Counts of a
+/// tenant with a call now and then are never even.
 const SAVED_CALLS_MIN: f64 = 10.0;
+/// Part of a limit that a coordinator gives out while it has not heard of its nodes yet.
+const NEW_COORDINATOR_PART: f64 = 0.75;
 /// Time after which a silent node is not counted as heard.
 const NODE_LIFETIME: Duration = Duration::from_millis(2_500);
 /// Shortest and longest time over which the demand of a node is taken, in seconds.
@@ -125,10 +126,8 @@
         let is_new = self
             .started_at
             .is_none_or(|started_at| now.since(started_at) < NODE_LIFETIME);
-        if is_new {
-            return 1.0;
-        }
-        (number(self.heard.len()) / number(nodes).max(1.0)).min(1.0)
+        let least = if is_new { NEW_COORDINATOR_PART } else { 0.0 };
+        (number(self.heard.len()) / number(nodes).max(1.0)).clamp(least, 1.0)
     }
 }
 
@@ -137,7 +136,7 @@
     fn new(now: Time, limit: RateLimit) -> Self {
         Self {
             limit,
-            level: limit.burst.min(SAVED_CALLS_MIN),
+            level: SAVED_CALLS_MIN,
             demand_per_s: BTreeMap::new(),
             updated_at: now,
         }
@@ -150,18 +149,13 @@
         let debt_max = limit.per_s * DEBT_MAX_S;
         let level = self.level + limit.per_s * fleet.heard_part * seconds;
         let saved = (limit.burst * fleet.saved_part).max(SAVED_CALLS_MIN);
-        self.level = level.min(limit.burst.min(saved)).max(-debt_max);
+        self.level = level.min(saved).max(-debt_max);
     }
 
     /// Share of the demand that the rate, and what is saved or owed, allow.
     fn share(&self, part: f64) -> f64 {
         let per_s = self.limit.per_s * part;
-        let horizon = if self.level > 0.0 {
-            SAVINGS_HORIZON_S
-        } else {
-            DEBT_HORIZON_S
-        };
-        let allowed = per_s + self.level / horizon;
+        let allowed = per_s + self.level / HORIZON_S;
         let allowed = allowed.max(per_s * PAYBACK_SHARE_MIN);
         let demand: f64 = self.demand_per_s.values().sum();
         if allowed >= demand {
