No part of an answer is whole for HTTP/1.0, and no status outside 200 to 599 is an answer

A caller of HTTP/1.0 got the part of an answer that a server reset as a complete one: the end of the connection ends such an answer, and the node closed it in order. The connection is reset now. Statuses 600 to 999 were passed on as they came.

--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderMap, Request, Response, Uri, Version as HttpVersion};
+use http::{HeaderMap, Request, Response, StatusCode, Uri, Version as HttpVersion};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
 
@@ -328,6 +328,9 @@
             Err(_) => return Outcome::Unknown(call.lose(Loss::Deadline)),
         };
         let (mut head, body) = response.into_parts();
+        if !is_final_status(head.status) {
+            return Outcome::Unknown(call.lose(Loss::BackendServer));
+        }
         match self.dialect.classify_response(id.as_ref(), &head) {
             Answer::Answered => {}
             Answer::Shed => {
@@ -356,3 +359,9 @@
         }
     }
 }
+
+/// Whether a response with this status ends a request (RFC 9110, 15): a server in trouble may send
+/// any three digits.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -38,23 +38,33 @@
         parts.observer.event(Event::Received);
         let request_id = parts.dialect.request_id(&head.headers);
         match Routable::check(self, head) {
-            Ok(routable) => self.serve(started, routable, body).await,
+            Ok(routable) => match self.serve(started, routable, body).await {
+                Ok(response) => response,
+                Err(refused) => self.refuse(&refused),
+            },
             Err(rejection) => self.reject(received(), request_id.as_ref(), &rejection),
         }
     }
 
     /// Handles a pipelined request without a body before its turn.
     ///
-    /// Returns `None` if it has to wait: its call may run only once, or it is to be refused, which
-    /// is left to its turn.
+    /// Returns `None` if it has to wait: its call may run only once, or no backend server has room.
+    /// There may be room in its turn, and on a full service calls ahead of theirs come last.
     pub(super) async fn handle_ahead(self: &Arc<Self>, head: Head) -> Option<Response<Body>> {
         let started = self.parts.clock.now();
         let routable = Routable::check(self, head).ok()?;
         if !routable.idempotent {
             return None;
         }
+        let response = match self.serve(started, routable, RequestBody::empty()).await {
+            Ok(response) => response,
+            Err(refused) if refused.not_run.reason() == Reason::RateLimited => {
+                self.refuse(&refused)
+            }
+            Err(_) => return None,
+        };
         self.parts.observer.event(Event::Received);
-        Some(self.serve(started, routable, RequestBody::empty()).await)
+        Some(response)
     }
 
     /// Forwards a checked request.
@@ -63,7 +73,7 @@
         started: Time,
         mut routable: Routable,
         body: RequestBody,
-    ) -> Response<Body> {
+    ) -> Result<Response<Body>, RefusedCall> {
         let parts = &self.parts;
         let call = received();
         let call = call.route(routable.worth(), started + routable.time_left);
@@ -88,22 +98,27 @@
                 let reason = Reason::RateLimited;
                 recording.end(CallOutcome::NotRun(reason));
                 self.report_refusal(&routable, reason);
-                return self.refusal_response(call.refuse(reason), retry_after, "");
+                return Err(RefusedCall {
+                    not_run: call.refuse(reason),
+                    retry_after,
+                });
             }
         };
         match call_result {
             CallResult::Answered(response) => {
                 recording.end(CallOutcome::Answered(response.status()));
-                response
+                Ok(response)
             }
-            CallResult::NotRun(refused) => {
-                recording.end(CallOutcome::NotRun(refused.reason()));
-                let retry_after = self.retry_after(refused.reason(), &routable);
-                self.refusal_response(refused, retry_after, "")
+            CallResult::NotRun(not_run) => {
+                recording.end(CallOutcome::NotRun(not_run.reason()));
+                Err(RefusedCall {
+                    not_run,
+                    retry_after: self.retry_after(not_run.reason(), &routable),
+                })
             }
             CallResult::Unknown(unknown) => {
                 recording.end(CallOutcome::Unknown(unknown.loss()));
-                parts.dialect.unknown_outcome_response(unknown)
+                Ok(parts.dialect.unknown_outcome_response(unknown))
             }
         }
     }
@@ -187,6 +202,10 @@
         self.refusal_response(refused, retry_after, &rejection.addresses)
     }
 
+    fn refuse(&self, refused: &RefusedCall) -> Response<Body> {
+        self.refusal_response(refused.not_run, refused.retry_after, "")
+    }
+
     fn refusal_response(
         &self,
         refused: NotRun,
@@ -422,6 +441,12 @@
     }
 }
 
+/// A call that certainly did not run, and when its caller may try again.
+struct RefusedCall {
+    not_run: NotRun,
+    retry_after: Duration,
+}
+
 /// Count of a call against the rate limit of its tenant, if that has one.
 struct TenantAdmission {
     tenant: Option<String>,
--- a/src/entry/pipeline/mod.rs
+++ b/src/entry/pipeline/mod.rs
@@ -62,6 +62,8 @@
     started: u64,
     /// Requests whose response has been passed to hyper.
     answered: u64,
+    /// Whether the end of the connection tells the caller that a response is complete.
+    ends_response: bool,
 }
 
 impl Pipeline {
@@ -78,6 +80,7 @@
                 prefetches: Prefetches::new(settings.max_prefetched_calls),
                 started: 0,
                 answered: 0,
+                ends_response: false,
             }),
         })
     }
@@ -98,7 +101,8 @@
         request: Request<Incoming>,
     ) -> Result<Response<Body>, CallerGone> {
         let (head, body) = request.into_parts();
-        let is_http2 = head.version >= Version::HTTP_2;
+        let version = head.version;
+        let is_http2 = version >= Version::HTTP_2;
         let is_bodiless = body.is_end_stream();
         let body = RequestBody::new(body, &head.headers);
         if is_http2 {
@@ -118,10 +122,27 @@
         } else {
             Ok(work.await)
         };
-        self.lock().answered += 1;
+        let mut inner = self.lock();
+        inner.answered += 1;
+        if let Ok(response) = &response {
+            let is_framed =
+                version >= Version::HTTP_11 || response.body().size_hint().exact().is_some();
+            inner.ends_response |= !is_framed;
+        }
+        drop(inner);
         response
     }
 
+    /// Prepares a connection that failed for its end. A caller of HTTP/1.0 would take an orderly
+    /// one for the end of its response, so the connection is reset.
+    pub(super) fn on_failure(&self) {
+        let inner = self.lock();
+        if inner.ends_response {
+            // Without it the connection ends all the same.
+            let _ = inner.socket.set_zero_linger();
+        }
+    }
+
     /// Counts a request that hyper has read, and takes its prefetched call.
     fn start(&self, head: &http::request::Parts) -> Option<prefetch::Prefetched> {
         let mut inner = self.lock();
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -87,6 +87,7 @@
         }
     };
     if served.is_err() {
+        pipeline.on_failure();
         observer.event(Event::Rejected);
     }
 }
--- a/src/entry/tests/mod.rs
+++ b/src/entry/tests/mod.rs
@@ -5,6 +5,7 @@
 mod bodies;
 mod call_ages;
 mod claims;
+mod cut_answers;
 mod drain;
 mod endless;
 mod hops;
--- a/src/entry/tests/test_cluster.rs
+++ b/src/entry/tests/test_cluster.rs
@@ -464,6 +464,8 @@
     Send(&'static str),
     /// Sends these bytes and closes.
     SendAndClose(&'static str),
+    /// Sends these bytes, then resets the connection once the caller has read them.
+    SendAndReset(&'static str),
     /// Closes the connection without a response.
     Close,
     /// Sends nothing until the caller closes the connection.
@@ -474,6 +476,9 @@
     SendWithoutEnd(&'static str, &'static str),
 }
 
+/// Time from the last byte to the reset of a connection.
+const RESET_DELAY: Duration = Duration::from_millis(100);
+
 /// Bytes written at once by a server that sends without end.
 const REPEATED_BYTES: usize = 16 * 1024;
 
@@ -583,6 +588,13 @@
                 let _ = socket.write_all(bytes.as_bytes()).await;
                 return;
             }
+            Step::SendAndReset(bytes) => {
+                let _ = socket.write_all(bytes.as_bytes()).await;
+                // A reset drops bytes that have not been delivered.
+                tokio::time::sleep(RESET_DELAY).await;
+                let _ = socket.set_zero_linger();
+                return;
+            }
             Step::Close => return,
             Step::NeverRespond => {
                 let _ = socket.read(&mut [0; 1]).await;
