--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -52,6 +52,7 @@
     /// Calls a second that ask, by node, over the time of its last report.
     demand_per_s: BTreeMap<String, f64>,
     updated_at: Time,
+    is_restricted: bool,
 }
 
 impl Ledger {
@@ -97,6 +98,7 @@
         let restricted = accounts.filter_map(|(tenant, account)| {
             account.advance(now, account.limit, fleet);
             let share = account.share(fleet.heard_part);
+            account.log_change(tenant, share);
             (share < 1.0).then(|| Restriction {
                 tenant: tenant.clone(),
                 share,
@@ -139,6 +141,7 @@
             level: SAVED_CALLS_MIN,
             demand_per_s: BTreeMap::new(),
             updated_at: now,
+            is_restricted: false,
         }
     }
 
@@ -152,12 +155,35 @@
         self.level = level.min(saved).max(-debt_max);
     }
 
+    fn log_change(&mut self, tenant: &str, share: f64) {
+        let is_restricted = share < 1.0;
+        if is_restricted == self.is_restricted {
+            return;
+        }
+        self.is_restricted = is_restricted;
+        let RateLimit { per_s, burst } = self.limit;
+        if is_restricted {
+            log::info!(
+                "tenant {tenant} is beyond its rate limit: {:.1} calls a second ask, {per_s} and a \
+                 burst of {burst} may run; {:.0}% are admitted",
+                self.demand(),
+                share * 100.0
+            );
+        } else {
+            log::info!("tenant {tenant} is within its rate limit again");
+        }
+    }
+
+    fn demand(&self) -> f64 {
+        self.demand_per_s.values().sum()
+    }
+
     /// Share of the demand that the rate, and what is saved or owed, allow.
     fn share(&self, part: f64) -> f64 {
         let per_s = self.limit.per_s * part;
         let allowed = per_s + self.level / HORIZON_S;
         let allowed = allowed.max(per_s * PAYBACK_SHARE_MIN);
-        let demand: f64 = self.demand_per_s.values().sum();
+        let demand = self.demand();
         if allowed >= demand {
             1.0
         } else {
