--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -49,6 +49,15 @@
     pub probe_timeout: Duration,
     /// Gate of a backend server, before it and its plan say more.
     pub gate: gate::Settings,
+    /// Calls that a cold backend server may get for each call a second that the plan states.
+    pub cold_rate_factor: f64,
+}
+
+impl Settings {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Saturates.
+    fn cold_rate(&self, per_s: u32) -> u32 {
+        (f64::from(per_s) * self.cold_rate_factor.max(1.0)) as u32
+    }
 }
 
 impl Default for Settings {
@@ -57,6 +66,7 @@
             probe_interval: Duration::from_millis(100),
             probe_timeout: Duration::from_millis(500),
             gate: gate::Settings::default(),
+            cold_rate_factor: 1.0,
         }
     }
 }
@@ -378,7 +388,9 @@
                 steps: 1,
                 step_time: Duration::ZERO,
             },
-            cold_calls_per_s: upkeep.cold_per_s,
+            cold_calls_per_s: upkeep
+                .cold_per_s
+                .map(|per_s| self.parts.settings.cold_rate(per_s)),
             ..self.parts.settings.gate
         });
     }
--- a/src/call/observer.rs
+++ b/src/call/observer.rs
@@ -69,6 +69,8 @@
     Retried,
     /// A second copy of a call was sent.
     Hedged,
+    /// The second copy of a call was answered first.
+    HedgeWon,
     /// A queued call is to be withdrawn.
     Recalled,
     /// The gate let a call through.
--- a/src/entry/hedge.rs
+++ b/src/entry/hedge.rs
@@ -3,7 +3,8 @@
 //! A backend server may slow down while it runs a call. If the first attempt has used the share
 //! `hedge_after_share` of the response time objective, a hedged attempt at a backend server without
 //! a queue may still respond in time. The first successful response counts; the other attempt is
-//! cancelled. If the attempt that finishes first fails, the result of the other one counts. The router limits hedged requests by a token bucket.
+//! cancelled. If the attempt that finishes first fails, the result of the other one counts. The
+//! router limits hedged requests by a token bucket, see docs/design/hedging.md.
 
 use std::time::Duration;
 
@@ -93,6 +94,7 @@
             FirstFinished::Hedge(result) => {
                 let result = record_result(result, progress, hedge.attempt_index);
                 if result.is_success() {
+                    self.parts.observer.event(Event::HedgeWon);
                     return result;
                 }
                 progress.record_failure(&hedge.choice, &result);
--- a/src/node/hosted/bounds.rs
+++ b/src/node/hosted/bounds.rs
@@ -20,6 +20,8 @@
     pub checks_per_s: f64,
     /// Calls of one service beyond the first, for each call of a caller.
     pub retry_ratio: f64,
+    /// Calls that a cold backend server may get for each call a second that it is stated to bear.
+    pub cold_rate_factor: f64,
     /// Largest share of a service's calls, 0 to 1, for a version that may be bad.
     pub exposure_share: f64,
     /// Calls that such a version may get in addition.
@@ -31,6 +33,7 @@
         Self {
             checks_per_s: 60.0,
             retry_ratio: 0.2,
+            cold_rate_factor: 1.0,
             exposure_share: 0.1,
             exposure_slack: 50,
         }
@@ -47,6 +50,7 @@
         registry.probe_interval = registry.probe_interval.max(regular);
         let asked = checks_per_s * ASKED_SHARE;
         registry.gate.load_queries_per_s = registry.gate.load_queries_per_s.min(asked);
+        registry.cold_rate_factor = bounds.cold_rate_factor.max(1.0);
         let routing = &mut self.tuning.routing;
         let extra = bounds.retry_ratio.max(0.0) * RETRY_SHARE;
         routing.retry_ratio = routing.retry_ratio.min(extra);
--- a/src/node/hosted/settings.rs
+++ b/src/node/hosted/settings.rs
@@ -69,6 +69,21 @@
     }
 }
 
+impl Settings {
+    /// The same with hedged requests limited to `percent` of the calls of each service, within the
+    /// bound of the platform on calls beyond the first; zero disables them.
+    #[must_use]
+    pub fn with_hedge_percent(mut self, percent: f64) -> Self {
+        let ratio = (percent / 100.0).max(0.0);
+        let tuning = &mut self.tuning;
+        tuning.routing.hedge_ratio = tuning.routing.hedge_ratio.min(ratio);
+        if ratio == 0.0 {
+            tuning.entry.hedge_after_share = 0.0;
+        }
+        self
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/src/node/hosted/tests.rs
+++ b/src/node/hosted/tests.rs
@@ -25,7 +25,29 @@
 /// Share of a platform's grace in which backend servers may still be at work.
 const WORK_SHARE: f64 = 5.0 / 6.0;
 
+fn cold_rate_factor(cold_rate_factor: f64) -> f64 {
+    let bounds = Bounds {
+        cold_rate_factor,
+        ..Bounds::default()
+    };
+    Settings::default().within(bounds).registry.cold_rate_factor
+}
+
+/// Limit of hedged requests, as a share of the calls.
+fn hedges(percent: f64) -> f64 {
+    let settings = within(60.0, 0.2).with_hedge_percent(percent);
+    settings.tuning.routing.hedge_ratio
+}
+
 cases! {
+    operators_limit_hedges: assert!((hedges(2.0) - 0.02).abs() < 1e-9);
+    platform_bounds_the_operators_limit: assert!(hedges(50.0) <= 0.06 + 1e-9);
+    hedges_are_switched_off: {
+        let settings = Settings::default().with_hedge_percent(0.0);
+        assert!(settings.tuning.entry.hedge_after_share <= 0.0);
+    };
+    cold_servers_get_what_the_platform_allows: assert!((cold_rate_factor(1.5) - 1.5).abs() < 1e-9);
+    cold_servers_get_no_less_than_they_bear: assert!((cold_rate_factor(0.5) - 1.0).abs() < 1e-9);
     stop_leaves_backend_servers_their_share_of_the_grace: {
         for seconds in [2, 6, 10, 30] {
             let grace = Duration::from_secs(seconds);
--- a/src/node/observe.rs
+++ b/src/node/observe.rs
@@ -77,7 +77,9 @@
             Event::ResponseCut => count(Name::AnswerCut),
             Event::Cancelled => count(Name::CallCancelled),
 
-            Event::Connected | Event::Hedged | Event::Routed { .. } | Event::OutcomeUnknown(_) => {}
+            Event::Hedged => count(Name::CallHedged),
+            Event::HedgeWon => count(Name::HedgeWon),
+            Event::Connected | Event::Routed { .. } | Event::OutcomeUnknown(_) => {}
         }
     }
 
--- a/src/rollout/split.rs
+++ b/src/rollout/split.rs
@@ -81,9 +81,10 @@
             .map(|(directive, _)| directive.phase)
     }
 
-    /// Lane of one call. `pick` is a uniform random number from 0 to 1.
+    /// Lane of one call. `pick` is a uniform random number from 0 to 1. A retry does not go to a
+    /// canary, which may have failed the call.
     #[must_use]
-    pub fn lane(&self, now: Time, is_idempotent: bool, pick: f64) -> Lane {
+    pub fn lane(&self, now: Time, is_idempotent: bool, is_retry: bool, pick: f64) -> Lane {
         let Some((directive, heard_at)) = &self.directive else {
             return Lane::Old { is_final: false };
         };
@@ -93,7 +94,8 @@
             Phase::Canary | Phase::Cutover => {}
         }
         let is_fresh = now.since(*heard_at) < DIRECTIVE_LIFETIME;
-        let may_go = is_idempotent || !directive.idempotent_only;
+        let may_be_bad = is_retry && directive.phase == Phase::Canary;
+        let may_go = !may_be_bad && (is_idempotent || !directive.idempotent_only);
         if is_fresh && may_go && pick < directive.share {
             Lane::Target
         } else {
--- a/src/rollout/tests/fleet.rs
+++ b/src/rollout/tests/fleet.rs
@@ -131,7 +131,7 @@
             }
             let calls = poisson(&mut rng, self.calls_per_s * STEP.as_secs_f64());
             for _ in 0..calls {
-                let lane = split.lane(now, true, rng.random());
+                let lane = split.lane(now, true, false, rng.random());
                 let is_target = lane == crate::rollout::Lane::Target;
                 let share = controller.directive().share;
                 let shows = elapsed >= behaviour.after && share >= behaviour.above_share;
--- a/src/rollout/tests/split.rs
+++ b/src/rollout/tests/split.rs
@@ -26,23 +26,23 @@
 
 fn check_stale(phase: Phase, expected: Lane) {
     let later = Time::ZERO + Duration::from_secs(3);
-    assert_eq!(split(phase, 1.0).lane(later, true, 0.0), expected);
+    assert_eq!(split(phase, 1.0).lane(later, true, false, 0.0), expected);
 }
 
 cases! {
     without_a_directive_calls_go_to_the_old_version:
-        assert_eq!(Split::new("v2".into()).lane(Time::ZERO, true, 0.0), OLD);
+        assert_eq!(Split::new("v2".into()).lane(Time::ZERO, true, false, 0.0), OLD);
     share_of_the_calls_goes_to_the_target: {
         let split = split(Phase::Canary, 0.1);
-        assert_eq!(split.lane(Time::ZERO, true, 0.09), Lane::Target);
-        assert_eq!(split.lane(Time::ZERO, true, 0.11), OLD);
+        assert_eq!(split.lane(Time::ZERO, true, false, 0.09), Lane::Target);
+        assert_eq!(split.lane(Time::ZERO, true, false, 0.11), OLD);
     };
     first_calls_are_idempotent: {
         let mut split = Split::new("v2".into());
         let careful = Directive { idempotent_only: true, ..directive(Phase::Canary, 1.0) };
         split.on_directive(Time::ZERO, &careful);
-        assert_eq!(split.lane(Time::ZERO, false, 0.0), OLD);
-        assert_eq!(split.lane(Time::ZERO, true, 0.0), Lane::Target);
+        assert_eq!(split.lane(Time::ZERO, false, false, 0.0), OLD);
+        assert_eq!(split.lane(Time::ZERO, true, false, 0.0), Lane::Target);
     };
     canary_ends_when_the_coordinator_falls_silent: check_stale(Phase::Canary, OLD);
     cutover_ends_when_the_coordinator_falls_silent: check_stale(Phase::Cutover, OLD);
--- a/src/routing/pool.rs
+++ b/src/routing/pool.rs
@@ -58,6 +58,8 @@
     pub(super) own_backend: Option<Backend>,
     pub(super) mean: ServiceMean,
     pub(super) last_call_at: Option<Time>,
+    /// Last time that a gate or a backend server had no room.
+    pub(super) last_overload_at: Option<Time>,
     pub(super) probe_cursor: usize,
 }
 
@@ -68,6 +70,7 @@
             own_backend: None,
             mean: ServiceMean::new(settings),
             last_call_at: None,
+            last_overload_at: None,
             probe_cursor: 0,
         }
     }
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -29,6 +29,8 @@
 
 /// Backend servers of a service are probed only for this long after its last call.
 const PROBE_WINDOW_AFTER_CALL: Duration = Duration::from_secs(10);
+/// Time without hedged requests after a backend server of the service had no room.
+const HEDGE_PAUSE_AFTER_OVERLOAD: Duration = Duration::from_secs(1);
 /// Backend servers of one service that are examined for each probe.
 const MAX_MEMBERS_PER_PROBE: usize = 4;
 
@@ -233,9 +235,18 @@
         self.budget(now, service).retries.add(1.0);
     }
 
-    /// Takes a token of the budget of second copies. Tells whether there was one.
+    /// Takes a token of the hedge budget. Returns whether a hedged request may be sent.
+    ///
+    /// None is sent while the service has no room or retries have used up their budget: extra work
+    /// would prolong an overload.
     pub fn take_hedge_token(&mut self, now: Time, service: key::Service) -> bool {
-        self.budget(now, service).hedges.try_take(now, 1.0)
+        let pool = self.directory.pools.get(service);
+        let overloaded_at = pool.and_then(|pool| pool.last_overload_at);
+        if overloaded_at.is_some_and(|at| now.since(at) < HEDGE_PAUSE_AFTER_OVERLOAD) {
+            return false;
+        }
+        let budget = self.budget(now, service);
+        budget.retries.refill_and_check(now, 1.0) && budget.hedges.try_take(now, 1.0)
     }
 
     /// Adds the share of one new call to the budgets of retries and hedged requests.
@@ -294,7 +305,7 @@
         }
     }
 
-    /// Versions to which the call may go. A retry does not go to a version that may be bad.
+    /// Versions to which the call may go.
     fn lane(&mut self, now: Time, request: &SelectionRequest) -> Lane {
         if self.splits.is_empty() {
             return Lane::Any;
@@ -303,8 +314,8 @@
         let Some(split) = self.splits.get(name) else {
             return Lane::Any;
         };
-        let is_first = request.tried == TriedBackends::new();
-        split.lane(now, request.idempotent && is_first, self.rng.random())
+        let is_retry = request.tried != TriedBackends::new();
+        split.lane(now, request.idempotent, is_retry, self.rng.random())
     }
 
     /// Whether a backend server of another than the target version is known that does not leave.
@@ -432,8 +443,15 @@
             return;
         };
         member.estimate.on_end(now);
+        let service = member.placement.map(|placement| placement.service);
         match reason {
-            Reason::Overloaded | Reason::Shed => member.estimate.on_overload_refusal(now),
+            Reason::Overloaded | Reason::Shed => {
+                member.estimate.on_overload_refusal(now);
+                let pool = service.and_then(|service| self.directory.pools.get_mut(service));
+                if let Some(pool) = pool {
+                    pool.last_overload_at = Some(now);
+                }
+            }
             Reason::ZoneOut | Reason::Draining | Reason::Unreachable => {
                 member.health.back_off(now, reason, &self.settings);
             }
--- a/src/telemetry/metric/name.rs
+++ b/src/telemetry/metric/name.rs
@@ -79,6 +79,8 @@
     CallCancelled, "call.cancelled", Count, [], "Calls whose caller went away";
     CallAttempts, "call.attempts", Count, [], "Attempts beyond the first";
     CallRecalled, "call.recalled", Count, [], "Queued calls withdrawn from a slow gate";
+    CallHedged, "call.hedged", Count, [], "Second copies of slow calls that were sent";
+    HedgeWon, "call.hedge_won", Count, [], "Second copies that were answered first";
     AnswerCut, "answer.cut", Count, [], "Answers cut after their head";
     CallerRejected, "caller.rejected", Count, [], "Connections of callers refused or cut for what they sent";
     CallTime, "call.time", Micros, ["route"], "Time from request to the end of the answer";
