--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -16,7 +16,7 @@
     request_id,
 };
 use crate::clock::{Clock, Time};
-use crate::coordination::{Desk, Local};
+use crate::coordination::{Handler, Local};
 use crate::dialect::{Dialect, DispatchContext, ResponseClass as Answer};
 use crate::gate::{Arrival, LoadReport};
 use crate::plan::Version;
@@ -51,7 +51,7 @@
     /// Answers and directives of roll-outs.
     pub local: Arc<Local>,
     /// Answers the reports of other nodes.
-    pub desk: Arc<dyn Desk>,
+    pub report_handler: Arc<dyn Handler>,
 }
 
 impl fmt::Debug for Executor {
--- a/src/coordination/coordinator.rs
+++ b/src/coordination/coordinator.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::record::{Call, Record};
-use super::{Desk, Directives, Report, StoreStatus};
+use super::{Directives, Handler, Report, StoreStatus};
 use crate::clock::{Clock, Time};
 use crate::membership::{ClusterSnapshot, Handle};
 use crate::plan::{Plan, Rollout};
@@ -189,7 +189,7 @@
     }
 }
 
-impl Desk for Coordinator {
+impl Handler for Coordinator {
     fn on_report(&self, report: Report) -> Directives {
         self.join(&self.handle.snapshot(), report)
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -60,16 +60,16 @@
 }
 
 /// Answers the reports of other nodes.
-pub trait Desk: Send + Sync + 'static {
+pub trait Handler: Send + Sync + 'static {
     /// Takes in a report and returns the directives for its node.
     fn on_report(&self, report: Report) -> Directives;
 }
 
-/// A desk of a node that coordinates nothing.
+/// A handler for a node that coordinates nothing.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct NoDesk;
+pub struct NoHandler;
 
-impl Desk for NoDesk {
+impl Handler for NoHandler {
     fn on_report(&self, _report: Report) -> Directives {
         Directives::default()
     }
--- a/src/coordination/tests/coordinator.rs
+++ b/src/coordination/tests/coordinator.rs
@@ -9,7 +9,9 @@
 use tokio::time::sleep;
 
 use crate::clock::Clock;
-use crate::coordination::{Coordinator, Desk, Report, Saved, Settings, StoreStatus, StoredStatus};
+use crate::coordination::{
+    Coordinator, Handler, Report, Saved, Settings, StoreStatus, StoredStatus,
+};
 use crate::membership::{ClusterSnapshot, Handle};
 use crate::plan::{Plan, Rollout};
 use crate::rollout::{Phase, RouteTally, State, Status, VersionReport};
@@ -17,9 +19,9 @@
 
 /// One record; `None` while the store is down.
 #[derive(Debug, Default)]
-struct Shelf(std::sync::Mutex<Option<StoredStatus>>);
+struct FakeStore(std::sync::Mutex<Option<StoredStatus>>);
 
-impl StoreStatus for Arc<Shelf> {
+impl StoreStatus for Arc<FakeStore> {
     fn load(&self, _service: String) -> BoxFuture<'static, store::Result<StoredStatus>> {
         let this = Arc::clone(self);
         async move {
@@ -69,8 +71,8 @@
     Handle::fixed(snapshot, changes, suspicions)
 }
 
-fn coordinator(shelf: &Arc<Shelf>) -> Arc<Coordinator> {
-    let status = Arc::new(Arc::clone(shelf));
+fn coordinator(store: &Arc<FakeStore>) -> Arc<Coordinator> {
+    let status = Arc::new(Arc::clone(store));
     Coordinator::new(Settings::default(), Clock::start(), handle(), status)
 }
 
@@ -107,8 +109,8 @@
     panic!("{expected:?} is not reached");
 }
 
-fn state(shelf: &Shelf) -> Option<State> {
-    let record = shelf.0.lock().expect("the lock is not poisoned");
+fn state(store: &FakeStore) -> Option<State> {
+    let record = store.0.lock().expect("the lock is not poisoned");
     record.as_ref()?.status.as_ref().map(|status| status.state)
 }
 
@@ -122,42 +124,42 @@
 }
 
 async fn good_version_is_recorded() {
-    let shelf = Arc::new(Shelf(Some(StoredStatus::default()).into()));
-    let coordinator = coordinator(&shelf);
+    let store = Arc::new(FakeStore(Some(StoredStatus::default()).into()));
+    let coordinator = coordinator(&store);
     until(&coordinator, 0, Phase::Done).await;
-    assert_eq!(state(&shelf), Some(State::Done));
+    assert_eq!(state(&store), Some(State::Done));
 }
 
 async fn bad_version_is_recorded() {
-    let shelf = Arc::new(Shelf(Some(StoredStatus::default()).into()));
-    let coordinator = coordinator(&shelf);
+    let store = Arc::new(FakeStore(Some(StoredStatus::default()).into()));
+    let coordinator = coordinator(&store);
     until(&coordinator, 20, Phase::RolledBack).await;
     sleep(Duration::from_secs(1)).await;
     coordinator.on_report(report("old", "v1", 40, 0));
     sleep(Duration::from_secs(1)).await;
-    assert_eq!(state(&shelf), Some(State::RolledBack));
+    assert_eq!(state(&store), Some(State::RolledBack));
 }
 
 async fn store_outage_gives_no_directive() {
-    let shelf = Arc::new(Shelf::default());
-    let coordinator = coordinator(&shelf);
+    let store = Arc::new(FakeStore::default());
+    let coordinator = coordinator(&store);
     for _ in 0..20 {
         let directives = coordinator.on_report(report("new", "v2", 40, 0));
         assert!(directives.rollouts.is_empty());
         sleep(Duration::from_millis(100)).await;
     }
-    *shelf.0.lock().expect("the lock is not poisoned") = Some(StoredStatus::default());
+    *store.0.lock().expect("the lock is not poisoned") = Some(StoredStatus::default());
     until(&coordinator, 0, Phase::Done).await;
 }
 
 /// The second one sees only a good version; the first one has recorded the opposite.
 async fn two_coordinators_agree() {
-    let shelf = Arc::new(Shelf(Some(StoredStatus::default()).into()));
-    let (first, second) = (coordinator(&shelf), coordinator(&shelf));
+    let store = Arc::new(FakeStore(Some(StoredStatus::default()).into()));
+    let (first, second) = (coordinator(&store), coordinator(&store));
     until(&second, 0, Phase::Canary).await;
     until(&first, 20, Phase::RolledBack).await;
     until(&second, 0, Phase::RolledBack).await;
-    assert_eq!(state(&shelf), Some(State::RolledBack));
+    assert_eq!(state(&store), Some(State::RolledBack));
 }
 
 cases! {
--- a/src/entry/tests/test_cluster.rs
+++ b/src/entry/tests/test_cluster.rs
@@ -20,7 +20,7 @@
 use crate::call::claim::Claims;
 use crate::call::{Admission, Event, FixedSnapshotSource, IdGenerator, Observer, Span};
 use crate::clock::Clock;
-use crate::coordination::NoDesk;
+use crate::coordination::NoHandler;
 use crate::dialect::Native;
 use crate::entry::{self, Entry, Parts};
 use crate::gate::{self, Gate};
@@ -268,7 +268,7 @@
             ids: ids.clone(),
             claims: Claims::default(),
             local: Arc::default(),
-            desk: Arc::new(NoDesk),
+            report_handler: Arc::new(NoHandler),
         });
         let routing = routing::Settings::default();
         let router = Arc::new(Mutex::new(Router::new(routing, location.clone(), 1)));
--- a/src/node/coordinate.rs
+++ b/src/node/coordinate.rs
@@ -9,7 +9,7 @@
 
 use crate::backend::Executor;
 use crate::clock::{Clock, Time};
-use crate::coordination::{Desk, Directives, Local, Report, Transport, ranked};
+use crate::coordination::{Directives, Handler, Local, Report, Transport, ranked};
 use crate::membership::{ClusterSnapshot, Handle};
 use crate::routing::Router;
 
@@ -31,7 +31,7 @@
 /// Reports to coordinators.
 pub struct Reporter {
     pub handle: Handle,
-    pub desk: Arc<dyn Desk>,
+    pub report_handler: Arc<dyn Handler>,
     pub local: Arc<Local>,
     pub transport: Arc<dyn Transport>,
     pub router: Arc<Mutex<Router>>,
@@ -91,7 +91,7 @@
             usage_ms: u64::try_from(period.as_millis()).unwrap_or(u64::MAX),
         };
         if coordinator == self.instance {
-            return Some(self.desk.on_report(report));
+            return Some(self.report_handler.on_report(report));
         }
         self.transport.report(address, report).await
     }
--- a/src/node/hosted/mod.rs
+++ b/src/node/hosted/mod.rs
@@ -187,7 +187,7 @@
                 client,
                 dialect,
                 local,
-                desk: coordinator,
+                report_handler: coordinator,
                 configure: Box::new(move |plan| configured.take_up(plan)),
                 clock,
                 observer,
--- a/src/node/parts.rs
+++ b/src/node/parts.rs
@@ -14,7 +14,7 @@
 use crate::backend::{self, Current, Http};
 use crate::call::{Admission, IdGenerator};
 use crate::clock::Clock;
-use crate::coordination::NoDesk;
+use crate::coordination::NoHandler;
 use crate::dialect::Native;
 use crate::entry;
 use crate::gate::{self, Gate};
@@ -79,7 +79,7 @@
                 client: client.clone(),
                 dialect: Arc::new(Native),
                 local: Arc::default(),
-                desk: Arc::new(NoDesk),
+                report_handler: Arc::new(NoHandler),
                 configure: configure(Arc::clone(&admission), settings.service.clone()),
                 clock,
                 observer,
--- a/src/node/path.rs
+++ b/src/node/path.rs
@@ -13,7 +13,7 @@
 use crate::call::claim::Claims;
 use crate::call::{Admission, IdGenerator, Observer, SnapshotSource};
 use crate::clock::Clock;
-use crate::coordination::{Desk, Local};
+use crate::coordination::{Handler, Local};
 use crate::dialect::Dialect;
 use crate::entry::{self, Entry};
 use crate::membership::Handle;
@@ -45,7 +45,7 @@
     /// Answers and directives of roll-outs.
     pub local: Arc<Local>,
     /// Answers the reports of other nodes.
-    pub desk: Arc<dyn Desk>,
+    pub report_handler: Arc<dyn Handler>,
     /// Puts a plan in force at the gate.
     pub configure: Configure,
     /// Clock of the node.
@@ -113,7 +113,7 @@
             ids: Arc::clone(&blueprint.ids),
             claims: Claims::default(),
             local: Arc::clone(&blueprint.local),
-            desk: Arc::clone(&blueprint.desk),
+            report_handler: Arc::clone(&blueprint.report_handler),
         });
         let router = Router::new(tuning.routing, location.clone(), blueprint.seed);
         let router = Arc::new(Mutex::new(router));
@@ -126,7 +126,7 @@
         };
         let reporter = Reporter {
             handle: handle.clone(),
-            desk: blueprint.desk,
+            report_handler: blueprint.report_handler,
             local: Arc::clone(&blueprint.local),
             transport: blueprint.links.clone(),
             router: Arc::clone(&router),
--- a/src/peer/coordination.rs
+++ b/src/peer/coordination.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Passes a report to the desk of this node and replies with its directives.
+/// Passes a report to the handler of this node and replies with its directives.
 pub(super) fn reply(
     executor: &Executor,
     message: &CoordinationMessage,
@@ -57,7 +57,7 @@
         executor.observer.event(Event::LinkRejected);
         return;
     };
-    let directives = executor.desk.on_report(report);
+    let directives = executor.report_handler.on_report(report);
     let mut frames = Encoder::default();
     let sent = to_message(&directives)
         .and_then(|message| frames.push_message(kind::DIRECTIVES, &message).ok());
