Review case 6: the body of a GET request in chunks is dropped

Cause: the header fields of a hop are stripped and nothing tells the HTTP client of the backend server how a body of unknown length is framed. For GET and HEAD the client then drops the body without an error.

The case sends GET and POST requests with bodies in chunks to an idempotent route of a small deployment and compares what arrives. TROUBLE=0 sends the same bodies with a length.

--- /dev/null
+++ b/review/rig-2/cases.rs
@@ -0,0 +1,18 @@
+//! The cases.
+
+mod body;
+
+use crate::world::Record;
+
+/// What came of a case.
+pub struct Verdict {
+    pub is_broken: bool,
+    pub text: String,
+}
+
+pub fn play(case: &str, record: &Record, has_trouble: bool) -> Result<Verdict, String> {
+    match case {
+        "body" => body::play(record, has_trouble),
+        _ => Err(format!("no case {case}")),
+    }
+}
