Review case 7: a node that restarts uses a backend server that has left

Cause: without an announcement of its own in the store, a node that starts takes its knowledge of acknowledged departures for complete and asks no witness. An outage of the store in which leases end removes the announcement.

The case takes the store away for 4.5 s, lets a backend server leave, kills the node beside it and delivers a check-in 2 s late. TROUBLE=0 leaves store and node alone.

--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod body;
+mod departure;
 
 use crate::world::Record;
 
@@ -13,6 +14,7 @@
 pub fn play(case: &str, record: &Record, has_trouble: bool) -> Result<Verdict, String> {
     match case {
         "body" => body::play(record, has_trouble),
+        "departure" => departure::play(record, has_trouble),
         _ => Err(format!("no case {case}")),
     }
 }
