Review case 8: prefetched calls are lost when the response before them is cut

Cause: calls behind a non-idempotent request are sent ahead of their turn, while its response is streamed and may still break off. The connection then has to close, and calls that backend servers have run get no response.

The case pipelines four idempotent requests behind each of 240 non-idempotent ones; one backend server cuts 4 of 240 responses. TROUBLE=0 cuts none.

--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod departure;
+mod pipeline;
 
 use crate::world::Record;
 
@@ -13,6 +14,7 @@
 
 pub fn play(case: &str, record: &Record, has_trouble: bool) -> Result<Verdict, String> {
     match case {
+        "pipeline" => pipeline::play(record, has_trouble),
         "body" => body::play(record, has_trouble),
         "departure" => departure::play(record, has_trouble),
         _ => Err(format!("no case {case}")),
