--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -3,6 +3,7 @@
 mod body;
 mod departure;
 mod pipeline;
+mod version;
 
 use crate::world::Record;
 
@@ -15,6 +16,7 @@
 pub fn play(case: &str, record: &Record, has_trouble: bool) -> Result<Verdict, String> {
     match case {
         "pipeline" => pipeline::play(record, has_trouble),
+        "version" => version::play(record, has_trouble),
         "body" => body::play(record, has_trouble),
         "departure" => departure::play(record, has_trouble),
         _ => Err(format!("no case {case}")),
