Review case 10: a drain is acknowledged and ignored

Cause: a backend server that restarts under its former name with an earlier start time, after a step of the clock, is used, but all its check-ins count as outdated. They are acknowledged all the same, also the one that says that it drains.

The case starts a backend server while the time of day is 2.4 s ahead, crashes and restarts it, and lets it drain 12 s later. TROUBLE=0 leaves the time of day alone.

--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod birth;
 mod body;
 mod departure;
 mod pipeline;
@@ -16,6 +17,7 @@
 pub fn play(case: &str, record: &Record, has_trouble: bool) -> Result<Verdict, String> {
     match case {
         "pipeline" => pipeline::play(record, has_trouble),
+        "birth" => birth::play(record, has_trouble),
         "version" => version::play(record, has_trouble),
         "body" => body::play(record, has_trouble),
         "departure" => departure::play(record, has_trouble),
