--- a/review/rig-2/cases/birth.rs
+++ b/review/rig-2/cases/birth.rs
@@ -48,7 +48,11 @@
     let mut others = Vec::new();
     for (number, place) in (2..).zip(&places[1..]) {
         let id = format!("i-{}{number}", place.service);
-        others.push(world.upstream(place, &id, Arc::clone(&behaviour)).map_err(text)?);
+        others.push(
+            world
+                .upstream(place, &id, Arc::clone(&behaviour))
+                .map_err(text)?,
+        );
     }
     sleep_s(4.0);
     let entry = places[2].outbound();
@@ -75,12 +79,16 @@
     let ahead = if has_trouble { STEP_MS } else { 0 };
     let first = world.upstream_born(&places[0], "i-desk1", Arc::clone(&behaviour), ahead);
     let first = first.map_err(text)?;
-    record.line(&format!("i-desk1 starts on a machine whose time of day is {ahead} ms ahead"));
+    record.line(&format!(
+        "i-desk1 starts on a machine whose time of day is {ahead} ms ahead"
+    ));
     sleep_s(1.0);
     first.crash();
     record.line("i-desk1 crashes, and the time of day jumps back");
     sleep_s(0.8);
-    let leaving = world.upstream(&places[0], "i-desk1", Arc::clone(&behaviour)).map_err(text)?;
+    let leaving = world
+        .upstream(&places[0], "i-desk1", Arc::clone(&behaviour))
+        .map_err(text)?;
     record.line("i-desk1 starts again under the id that it had");
     sleep_s(12.0);
     let before = leaving.runs.lock().expect("no panic").len();
@@ -88,19 +96,26 @@
     leaving.is_leaving.store(true, Ordering::SeqCst);
     let status = leaving.tell(&leaving.check_in("draining"));
     let acknowledged_at = record.now();
-    record.line(&format!("i-desk1 says that it is draining and gets {status}"));
+    record.line(&format!(
+        "i-desk1 says that it is draining and gets {status}"
+    ));
     if status != 200 {
         return Err("the leaving was not acknowledged".into());
     }
     for _ in 0..5 {
         sleep_s(SERVES_S / 5.0);
         let status = leaving.tell(&leaving.check_in("draining"));
-        record.line(&format!("i-desk1 says again that it is draining and gets {status}"));
+        record.line(&format!(
+            "i-desk1 says again that it is draining and gets {status}"
+        ));
     }
     is_over.store(true, Ordering::SeqCst);
     let _ = consumer.join();
     let runs = leaving.runs.lock().expect("no panic");
-    let after = runs.iter().filter(|run| run.at > acknowledged_at + DRAIN_S).count();
+    let after = runs
+        .iter()
+        .filter(|run| run.at > acknowledged_at + DRAIN_S)
+        .count();
     Ok(Verdict {
         is_broken: after > 0,
         text: format!(
--- a/review/rig-2/cases/keys.rs
+++ b/review/rig-2/cases/keys.rs
@@ -44,7 +44,9 @@
             r#"[{{"name":"dar-deeds","api_keys":["{key}"],"priority":1,"rate_per_s":0,"burst":0,"home_regions":[]}}]"#
         )
     };
-    world.store.put("op/config", &config("00000001", &with_key("key-one")));
+    world
+        .store
+        .put("op/config", &config("00000001", &with_key("key-one")));
     let shown: Arc<Mutex<BTreeMap<String, Shown>>> = Arc::default();
     let noted = Arc::clone(&shown);
     let behaviour: Behaviour = Arc::new(move |request, conn, upstream| {
@@ -98,20 +100,34 @@
     let before = send("before", "key-one");
     let unknown_before = send("before", "key-never");
     if before.get(&200) != Some(&REQUESTS) || unknown_before.get(&401) != Some(&REQUESTS) {
-        return Err(format!("before the change: {before:?} and {unknown_before:?}"));
+        return Err(format!(
+            "before the change: {before:?} and {unknown_before:?}"
+        ));
     }
     // The only tenant goes, or only its key changes.
-    let tenants = if has_trouble { "[]".to_owned() } else { with_key("key-two") };
+    let tenants = if has_trouble {
+        "[]".to_owned()
+    } else {
+        with_key("key-two")
+    };
     world.store.put("op/config", &config("00000004", &tenants));
-    record.line(&format!("the store acknowledges version 00000004 with tenants {tenants}"));
+    record.line(&format!(
+        "the store acknowledges version 00000004 with tenants {tenants}"
+    ));
     sleep_s(APPLY_S + 2.0);
     let dropped = send("after", "key-one");
     let unknown = send("after", "key-never");
     let shown = shown.lock().expect("no panic");
     let ran = |start: &str| shown.keys().filter(|id| id.starts_with(start)).count();
     let (ran_unknown, ran_dropped) = (ran("after-key-never"), ran("after-key-one"));
-    let showed_key = shown.values().filter(|seen| seen.authorization.is_some()).count();
-    let forged = shown.values().filter(|seen| seen.tenant.as_deref() == Some(FORGED)).count();
+    let showed_key = shown
+        .values()
+        .filter(|seen| seen.authorization.is_some())
+        .count();
+    let forged = shown
+        .values()
+        .filter(|seen| seen.tenant.as_deref() == Some(FORGED))
+        .count();
     Ok(Verdict {
         is_broken: ran_unknown > 0,
         text: format!(
--- a/review/rig-2/http.rs
+++ b/review/rig-2/http.rs
@@ -41,7 +41,9 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let query = self.second.split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(own, _)| *own == name).map(|(_, value)| decoded(value))
+        pairs
+            .find(|(own, _)| *own == name)
+            .map(|(_, value)| decoded(value))
     }
 }
 
--- a/review/rig-2/json.rs
+++ b/review/rig-2/json.rs
@@ -88,7 +88,8 @@
 
     fn eat(&mut self, wanted: &str) -> Option<()> {
         let rest = &self.bytes[self.at..];
-        rest.starts_with(wanted.as_bytes()).then(|| self.at += wanted.len())
+        rest.starts_with(wanted.as_bytes())
+            .then(|| self.at += wanted.len())
     }
 
     fn value(&mut self) -> Option<Json> {
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -48,7 +48,10 @@
 impl State {
     fn put(&mut self, key: &str, value: &str, lease: u64) {
         self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
         let item = Item {
             value: value.to_owned(),
             revision: self.revision,
@@ -251,7 +254,10 @@
             match state.leases.get_mut(&id) {
                 Some(lease) => {
                     lease.ends_at = Instant::now() + lease.ttl;
-                    (200, format!("{{\"ttl_s_time\":{}}}", lease.ttl.as_secs_f64()))
+                    (
+                        200,
+                        format!("{{\"ttl_s_time\":{}}}", lease.ttl.as_secs_f64()),
+                    )
                 }
                 None => (404, "{}".into()),
             }
@@ -276,7 +282,12 @@
     let list = |name: &str| body.get(name).map(Json::items).unwrap_or_default();
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let whole = |value: Option<&Json>| value.and_then(Json::number).unwrap_or(0.0) as u64;
-    let key_of = |row: &Json| row.get("key").and_then(Json::text).unwrap_or_default().to_owned();
+    let key_of = |row: &Json| {
+        row.get("key")
+            .and_then(Json::text)
+            .unwrap_or_default()
+            .to_owned()
+    };
     let mut holds = true;
     let mut current = Vec::new();
     for row in list("expect_rev") {
@@ -289,7 +300,10 @@
         return (412, format!("{{\"items\":[{}]}}", current.join(",")));
     }
     let leases = list("writes").iter().map(|row| whole(row.get("lease")));
-    if leases.into_iter().any(|lease| lease > 0 && !state.leases.contains_key(&lease)) {
+    if leases
+        .into_iter()
+        .any(|lease| lease > 0 && !state.leases.contains_key(&lease))
+    {
         return (404, "{}".into());
     }
     for row in list("writes") {
--- a/review/rig-2/world.rs
+++ b/review/rig-2/world.rs
@@ -157,7 +157,8 @@
             let expected = request.field("x-expect-instance");
             if expected.is_some_and(|expected| expected != self.id) {
                 let fields = format!("X-Attempt-Id: {attempt}\r\nX-Not-Run: 1\r\n");
-                self.record.line(&format!("{} answers 421 to {attempt}", self.id));
+                self.record
+                    .line(&format!("{} answers 421 to {attempt}", self.id));
                 if conn.respond(421, &fields, b"").is_err() {
                     return;
                 }
@@ -176,7 +177,11 @@
             };
             self.runs.lock().expect("no panic").push(run);
             let is_kept = behaviour(&request, &mut conn, self);
-            let end = if is_kept { "has answered" } else { "has broken off" };
+            let end = if is_kept {
+                "has answered"
+            } else {
+                "has broken off"
+            };
             self.record.line(&format!("{} {end} {attempt}", self.id));
             if !is_kept {
                 conn.finish();
@@ -363,7 +368,8 @@
             child: None,
         };
         node.start()?;
-        self.record.line(&format!("node {} starts", node.place.name));
+        self.record
+            .line(&format!("node {} starts", node.place.name));
         Ok(node)
     }
 
