review: case 12, a server of another service gets orders at a reused address

Cause: Presence::probed takes a process that answers at the address, and that has not reported yet, for one of the service that the settings named when the node was started. The node takes nothing from settings that change later.

The case: a server of order-desk crashes; 2.5 s later the settings of its machine name weighbridge-ledger, SIGHUP tells so, and a server of that service starts at the address. Its check-ins arrive 2 s late.

--- a/review/stand-in-3/cases.rs
+++ b/review/stand-in-3/cases.rs
@@ -5,6 +5,7 @@
 mod killed_while_cold;
 mod late_check_in;
 mod new_coordinator;
+mod reused_address;
 
 use crate::record::Record;
 
@@ -21,6 +22,7 @@
         "killed-while-cold" => killed_while_cold::play(has_trouble, record),
         "late-check-in" => late_check_in::play(has_trouble, record),
         "new-coordinator" => new_coordinator::play(has_trouble, record),
+        "reused-address" => reused_address::play(has_trouble, record),
         _ => Err(std::io::Error::other("there is no such case")),
     }
 }
--- a/review/stand-in-3/record.rs
+++ b/review/stand-in-3/record.rs
@@ -17,11 +17,12 @@
     Answered { id: String, status: u16 },
     /// A server has read a request.
     Arrived { id: String, server: String },
-    /// A server began to work on it.
+    /// A server began to work on it, for this tenant and calling service.
     Run {
         id: String,
         server: String,
         tenant: String,
+        caller: String,
     },
     /// A server said that it did not run it.
     NotRun {
@@ -39,12 +40,12 @@
             Self::Answered { id, status: 0 } => write!(f, "request {id} ended without an answer"),
             Self::Answered { id, status } => write!(f, "request {id} answered {status}"),
             Self::Arrived { id, server } => write!(f, "request {id} reached {server}"),
-            Self::Run { id, server, tenant } if tenant.is_empty() => {
-                write!(f, "request {id} run by {server}")
-            }
-            Self::Run { id, server, tenant } => {
-                write!(f, "request {id} of {tenant} run by {server}")
-            }
+            Self::Run {
+                id,
+                server,
+                tenant,
+                caller,
+            } => write!(f, "request {id} run by {server} for {caller} {tenant}"),
             Self::NotRun { id, server, status } => {
                 write!(f, "request {id} refused by {server}, {status} X-Not-Run")
             }
--- a/review/stand-in-3/server.rs
+++ b/review/stand-in-3/server.rs
@@ -1,7 +1,7 @@
 //! Stand-in of an application server (upstream) beside a node.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -27,6 +27,8 @@
     pub work: Duration,
     /// How many times as long work takes while it is cold.
     pub cold_factor: f64,
+    /// How late its check-ins arrive.
+    pub check_in_delay: Duration,
 }
 
 /// A server.
@@ -50,6 +52,8 @@
     /// An answer of so many is followed by one.
     extra_each: AtomicU32,
     answers: AtomicU32,
+    has_ended: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 #[derive(Default)]
@@ -62,6 +66,7 @@
     pub fn start(settings: Settings, record: &Record) -> std::io::Result<Self> {
         let listener = TcpListener::bind(settings.address)?;
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let delay_ms = millis(settings.check_in_delay);
         let shared = Arc::new(Shared {
             settings,
             record: record.clone(),
@@ -70,14 +75,19 @@
             slots: Mutex::default(),
             freed: Condvar::new(),
             cold_until: Mutex::new(Instant::now()),
-            check_in_delay_ms: AtomicU64::new(0),
+            check_in_delay_ms: AtomicU64::new(delay_ms),
             sends_extra: AtomicBool::new(false),
             extra_each: AtomicU32::new(1),
             answers: AtomicU32::new(0),
+            has_ended: AtomicBool::new(false),
+            connections: Mutex::default(),
         });
         let serving = Arc::clone(&shared);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.has_ended.load(Ordering::SeqCst) {
+                    return;
+                }
                 let shared = Arc::clone(&serving);
                 std::thread::spawn(move || shared.serve(stream));
             }
@@ -94,10 +104,24 @@
 
     /// Check-ins that are sent from now on arrive so much later.
     pub fn delay_check_ins(&self, time: Duration) {
-        let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         self.shared
             .check_in_delay_ms
-            .store(millis, Ordering::SeqCst);
+            .store(millis(time), Ordering::SeqCst);
+    }
+
+    /// The server crashes: its connections end, and it says nothing more.
+    pub fn crash(&self) {
+        self.shared.has_ended.store(true, Ordering::SeqCst);
+        // The listener closes once it has taken this connection.
+        let _ = TcpStream::connect(self.shared.settings.address);
+        for connection in lock(&self.shared.connections).drain(..) {
+            // An error means that it has ended already.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn settings(&self) -> Settings {
+        self.shared.settings.clone()
     }
 
     /// From now on, one of `each` answers is followed by an extra response; none for zero.
@@ -111,9 +135,10 @@
     fn serve(&self, stream: TcpStream) {
         // An error means that the other side has gone.
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else {
+        let (Ok(mut writer), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
             return;
         };
+        lock(&self.connections).push(kept);
         let mut reader = BufReader::new(stream);
         let mut extra: Option<Vec<u8>> = None;
         while let Ok(Some(request)) = http::read(&mut reader) {
@@ -176,11 +201,12 @@
         if !self.take_slot() {
             return self.refuse(&id, 503);
         }
-        let tenant = request.field("x-tenant").unwrap_or_default().to_owned();
+        let named = |field| request.field(field).unwrap_or_default().to_owned();
         self.record.add(Event::Run {
             id: id.clone(),
             server,
-            tenant,
+            tenant: named("x-tenant"),
+            caller: named("x-caller"),
         });
         let factor = if self.cold_left().is_zero() {
             1.0
@@ -258,7 +284,7 @@
     }
 
     fn check_in(self: Arc<Self>) {
-        loop {
+        while !self.has_ended.load(Ordering::SeqCst) {
             let request = self.check_in_request();
             let delay = Duration::from_millis(self.check_in_delay_ms.load(Ordering::SeqCst));
             let sender = Arc::clone(&self);
@@ -305,6 +331,10 @@
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
