--- a/src/membership/direct/follower.rs
+++ b/src/membership/direct/follower.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
-use super::{Settings, Shared, WatchPacing};
+use super::{Settings, Shared, WatchPacing, bootstrap};
 use crate::membership::InstanceId;
 use crate::store::{self, Client, Revision, Watched};
 
@@ -174,6 +174,14 @@
         }
     }
 
+    /// Prefix to list. That of announcements includes the record that the fleet has been started.
+    fn listed_prefix(&self) -> &str {
+        match self.subject {
+            Subject::Plans => &self.prefix,
+            Subject::Nodes => bootstrap::listed_prefix(&self.prefix),
+        }
+    }
+
     /// Lists, or watches after a revision; returns the position to continue from.
     async fn list_or_watch(
         &self,
@@ -181,7 +189,7 @@
         wait: Duration,
     ) -> store::Result<Position> {
         let Some(after) = after else {
-            let listing = self.client.list(&self.prefix).await?;
+            let listing = self.client.list(self.listed_prefix()).await?;
             let revision = listing.revision;
             match self.subject {
                 Subject::Plans => self.shared.on_plans_listed(listing),
--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -14,6 +14,7 @@
 
 mod announcement;
 mod announcer;
+mod bootstrap;
 mod departures;
 mod follower;
 mod gossip;
@@ -56,6 +57,7 @@
 pub use roster::{Roster, RosterChanges};
 
 use announcer::Announcer;
+use bootstrap::Bootstrap;
 use shared::Shared;
 use watch_pacing::WatchPacing;
 
@@ -276,10 +278,16 @@
         shared: Arc::clone(&shared),
         subject: follower::Subject::Nodes,
     };
+    let bootstrap = Bootstrap {
+        prefix: settings.prefix.clone(),
+        client: Arc::clone(&client),
+        shared: Arc::clone(&shared),
+    };
     let announcer = Announcer::new(settings, client, Arc::clone(&shared), desired.subscribe());
     spawn_until(shutdown, plans.run());
     spawn_until(shutdown, nodes.run());
     spawn_until(shutdown, announcer.run(leave_receiver));
+    spawn_until(shutdown, bootstrap.run());
     spawn_until(shutdown, Arc::clone(&shared).run_expiry());
     Membership {
         handle,
--- a/src/membership/direct/recollection.rs
+++ b/src/membership/direct/recollection.rs
@@ -6,8 +6,9 @@
 //!
 //! A node that the store has no announcement of is not always a new one. Its lease may have ended
 //! while the store was away, and those of its witnesses with it, so it asks again while their
-//! announcements return. A fleet that starts as a whole has nothing to recall and must not wait for
-//! it: a node takes itself for a part of one if the store answered at once and no witness is old.
+//! announcements return. A fleet that starts for the first time has nothing to recall and must not
+//! wait for it: a node takes itself for a part of one if the store answered at once, has no record of
+//! an earlier start, and no witness is old.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -109,7 +110,8 @@
             let is_complete = inquiry.witnesses.is_empty() || inquiry.is_complete();
             return inquiry.recollection(is_complete);
         }
-        if !self.shared.has_missed_store() && self.is_new_fleet(&mut inquiry, &on_news).await {
+        let may_be_new = !self.shared.has_missed_store() && !self.shared.joins_older_fleet();
+        if may_be_new && self.is_new_fleet(&mut inquiry, &on_news).await {
             on_news(inquiry.recollection(true));
             sleep(NEW_FLEET_CHECK_DELAY).await;
             if self.is_new_fleet(&mut inquiry, &on_news).await {
--- a/src/membership/direct/shared.rs
+++ b/src/membership/direct/shared.rs
@@ -17,12 +17,16 @@
 };
 use crate::clock::{Clock, Time};
 use crate::membership::handle::Publisher;
-use crate::membership::{ClusterSnapshot, Epoch, Instance, State, View};
+use crate::membership::{ClusterSnapshot, Epoch, Instance, InstanceId, State, View};
 use crate::plan::{Plan, Version};
 use crate::store::{Change, Lease, Listing, Record, Revision};
 
+use super::bootstrap;
 use super::follower::Subject;
 
+/// Topic of the ranking by which one node records the start of the fleet.
+const BOOTSTRAP_TOPIC: &str = "bootstrap";
+
 /// Time between two removals of expired announcements.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -58,6 +62,10 @@
     pub(super) previous_announcement: watch::Sender<PreviousAnnouncement>,
     /// Whether the store gave no answer to a listing of announcements before the first that it gave.
     has_missed_store: AtomicBool,
+    /// Whether the first listing of announcements showed that the fleet had been started before.
+    joins_older_fleet: AtomicBool,
+    /// Who records in the store that the fleet has been started.
+    bootstrap: watch::Sender<BootstrapDuty>,
     /// Departure that the announcement in the store tells.
     stored_departure: watch::Sender<Option<DepartedProcess>>,
     /// Notified when this node's announcement is missing from the store.
@@ -77,6 +85,18 @@
     Found(Box<StoredAnnouncement>),
 }
 
+/// Whether this node is to record that the fleet has been started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum BootstrapDuty {
+    /// Another node ranks before this one.
+    #[default]
+    Others,
+    /// This node ranks first.
+    Own,
+    /// The record is in the store.
+    Done,
+}
+
 /// An announcement as the store holds it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct StoredAnnouncement {
@@ -152,6 +172,8 @@
             watch_pause_max: settings.watch_pause_max,
             started_at: now,
             has_missed_store: AtomicBool::new(false),
+            joins_older_fleet: AtomicBool::new(false),
+            bootstrap: watch::Sender::default(),
             stored_departure: watch::Sender::default(),
             prefix: settings.prefix.clone(),
             previous_announcement: watch::Sender::new(PreviousAnnouncement::Unknown),
@@ -481,7 +503,7 @@
 
     /// A complete roster without this node means that its announcement was lost.
     fn check_own_announcement(&self, state: &Inner) {
-        let is_known = self.previous_announcement.borrow().clone() != PreviousAnnouncement::Unknown;
+        let is_known = self.is_listed();
         let is_announced = state.roster.announced().any(|node| node.name == self.name);
         let was_announced = state.roster.instances().any(|node| node.name == self.name);
         if is_known && was_announced && !is_announced {
@@ -507,6 +529,12 @@
         let now = self.clock.now();
         let mut announcements = BTreeMap::new();
         let mut previous_announcement = None;
+        if lists_bootstrap(listing, &self.prefix) {
+            self.set_bootstrapped();
+            if !self.is_listed() {
+                self.joins_older_fleet.store(true, Ordering::Relaxed);
+            }
+        }
         for record in &listing.records {
             let Some(announcement) = self.parse_announcement(record) else {
                 continue;
@@ -584,6 +612,42 @@
         self.has_missed_store.load(Ordering::Relaxed)
     }
 
+    /// Whether the fleet had been started before this node listed its announcements.
+    pub(super) fn joins_older_fleet(&self) -> bool {
+        self.joins_older_fleet.load(Ordering::Relaxed)
+    }
+
+    /// Records that the store tells that the fleet has been started.
+    pub(super) fn set_bootstrapped(&self) {
+        set_if_changed(&self.bootstrap, BootstrapDuty::Done);
+    }
+
+    /// Waits until this node is to record that the fleet has been started.
+    pub(super) async fn wait_until_bootstrap_is_due(&self) {
+        let mut bootstrap = self.bootstrap.subscribe();
+        // The sender lives as long as this does.
+        let _ = bootstrap.wait_for(|duty| *duty == BootstrapDuty::Own).await;
+    }
+
+    /// Gives the record of the start to the node that ranks first, which may have changed.
+    fn assign_bootstrap(&self, state: &Inner) {
+        let topic = InstanceId::of(BOOTSTRAP_TOPIC);
+        let own_rank = InstanceId::of(&self.name).score(topic);
+        let mut others = state
+            .roster
+            .announced()
+            .filter(|node| node.name != self.name);
+        let is_first = others.all(|node| InstanceId::of(&node.name).score(topic) < own_rank);
+        if is_first && *self.bootstrap.borrow() == BootstrapDuty::Others {
+            self.bootstrap.send_replace(BootstrapDuty::Own);
+        }
+    }
+
+    /// Whether announcements have been listed since the start.
+    fn is_listed(&self) -> bool {
+        *self.previous_announcement.borrow() != PreviousAnnouncement::Unknown
+    }
+
     /// Returns the announcement that the store held before this start. Waits for the first listing.
     pub(super) async fn previous_stored(&self) -> Option<StoredAnnouncement> {
         let mut previous_announcement = self.previous_announcement.subscribe();
@@ -618,6 +682,9 @@
             if state.roster.remove_expired(now) {
                 self.publish(&mut state);
             }
+            if self.is_listed() {
+                self.assign_bootstrap(&state);
+            }
             self.expire_earlier_era(now, &mut state);
         }
     }
@@ -672,6 +739,12 @@
     Some(records)
 }
 
+/// Whether the listing holds the record that the fleet has been started.
+fn lists_bootstrap(listing: &Listing, prefix: &str) -> bool {
+    let key = bootstrap::key(prefix);
+    listing.records.iter().any(|record| record.key == key)
+}
+
 fn log_role(watches: bool, is_relay: bool) {
     match (watches, is_relay) {
         (true, true) => log::info!("this node watches the store as a relay"),
--- a/src/membership/direct/tests/announcer.rs
+++ b/src/membership/direct/tests/announcer.rs
@@ -54,6 +54,9 @@
     }
 }
 
+/// Write of the record that the fleet has been started, which each test's first node makes.
+const BOOTSTRAP_WRITES: u64 = 1;
+
 fn instance(service: &str) -> Instance {
     let address = ([127, 0, 0, 1], 9).into();
     Instance {
@@ -95,7 +98,7 @@
     again.announce("odber");
     sleep_seconds(40).await;
     let calls = store.counters();
-    assert_eq!((calls.writes, calls.grants), (1, 1));
+    assert_eq!((calls.writes - BOOTSTRAP_WRITES, calls.grants), (1, 1));
     assert!(announced(&store).await);
 }
 
@@ -110,7 +113,7 @@
     again.announce("snuska");
     sleep_seconds(40).await;
     let calls = store.counters();
-    assert_eq!((calls.writes, calls.grants), (2, 1));
+    assert_eq!((calls.writes - BOOTSTRAP_WRITES, calls.grants), (2, 1));
     let record = store.get(KEY).await.expect("it is up").expect("announced");
     assert!(record.value.contains("snuska"));
 }
--- a/src/membership/direct/tests/departures.rs
+++ b/src/membership/direct/tests/departures.rs
@@ -202,6 +202,44 @@
     assert!(recollection.is_complete);
 }
 
+/// Guards against a node that takes its fleet for a new one until its witnesses are announced
+/// again, and admits a backend server whose leaving it has acknowledged meanwhile.
+#[tokio::test(start_paused = true)]
+async fn node_that_starts_into_a_store_without_announcements_is_not_of_a_new_fleet() {
+    let mut fleet = settled().await;
+    keep_in_outage(&mut fleet).await;
+    fleet.store.down(false);
+    fleet.start_node(0);
+    let had_nothing_to_recall = Mutex::new(false);
+    let recollection = fleet.membership(0).recollect(|known| {
+        if known.is_complete && known.departed.is_empty() {
+            *had_nothing_to_recall.lock().expect("no panic") = true;
+        }
+    });
+    assert_eq!(recollection.await.departed, [departed("i-1", 1_000)]);
+    assert!(!*had_nothing_to_recall.lock().expect("no panic"));
+}
+
+/// Guards against the same where all witnesses were killed and start again at the same time.
+#[tokio::test(start_paused = true)]
+async fn fleet_that_starts_again_into_a_store_without_announcements_is_not_a_new_one() {
+    let mut fleet = settled().await;
+    keep_in_outage(&mut fleet).await;
+    for number in 1..SIZE {
+        fleet.kill(&name(number));
+    }
+    fleet.store.down(false);
+    for number in 0..SIZE {
+        fleet.start_node(number);
+    }
+    let was_complete = Mutex::new(false);
+    let recollection = fleet.membership(0).recollect(|known| {
+        *was_complete.lock().expect("no panic") |= known.is_complete;
+    });
+    assert!(!recollection.await.is_complete);
+    assert!(!*was_complete.lock().expect("no panic"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn node_without_announcement_and_witnesses_may_have_forgotten() {
     let mut fleet = Fleet::start(1).await;
@@ -216,6 +254,15 @@
     assert!(!recollection.is_complete);
 }
 
+/// Guards against a mark that each node of a fleet writes, or that is written again and again.
+#[tokio::test(start_paused = true)]
+async fn bootstrap_of_a_fleet_is_recorded_once() {
+    let fleet = settled().await;
+    sleep(Duration::from_mins(1)).await;
+    let written = fleet.store.counters().writes - u64::try_from(SIZE).expect("a small fleet");
+    assert_eq!(written, 1);
+}
+
 /// Guards against a fleet whose nodes announce themselves only after they have asked each other, so
 /// that all of them watch the store meanwhile.
 #[tokio::test(start_paused = true)]
