--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -58,7 +58,7 @@
             reports_cold: false,
             zone_out_since: None,
             cold_until: COLD_INDEFINITELY,
-            cold_rate_limit: ColdRateLimit::default(),
+            cold_rate_limit: ColdRateLimit::new(now),
             next_permitted_at: None,
             slowdown: Slowdown::default(),
             load_queries: LoadQueries::new(&settings, now),
--- a/src/gate/tests/cold_rate_limit.rs
+++ b/src/gate/tests/cold_rate_limit.rs
@@ -20,12 +20,27 @@
     admitted
 }
 
+/// A gate that has run for longer than the window of the limit.
+fn running(settings: Settings) -> Harness {
+    let mut harness = Harness::new(settings);
+    harness.pass(1_000);
+    harness
+}
+
+fn started() -> Harness {
+    Harness::new(cold_settings())
+}
+
 fn cold() -> Harness {
-    Harness::new(Settings {
+    running(cold_settings())
+}
+
+fn cold_settings() -> Settings {
+    Settings {
         cold_calls_per_s: Some(PER_S),
         queue_capacity: 0,
         ..settings()
-    })
+    }
 }
 
 fn cold_for(millis: u64) -> Harness {
@@ -51,6 +66,19 @@
     assert_eq!(admitted(&mut harness, 20), 20);
 }
 
+/// Guards against a node that is started again beside a cold server and lets in a second's calls on
+/// top of those from before its end.
+fn start_uses_the_window_up() {
+    let mut harness = started();
+    harness.sign(Signal::ColdFor(Duration::from_secs(3)));
+    let at_once = admitted(&mut harness, 20);
+    harness.pass(990);
+    let early = admitted(&mut harness, 20);
+    harness.pass(10);
+    let second = admitted(&mut harness, 20);
+    assert_eq!((at_once, early, second), (0, 0, 5));
+}
+
 fn counts_calls_before_the_cold() {
     let mut harness = cold_for(0);
     assert_eq!(admitted(&mut harness, 20), 20);
@@ -59,7 +87,7 @@
 }
 
 fn queued_call_is_admitted() {
-    let mut harness = Harness::new(Settings {
+    let mut harness = running(Settings {
         cold_calls_per_s: Some(1),
         ..settings()
     });
@@ -81,7 +109,7 @@
 }
 
 fn hopeless_call_is_refused_at_once() {
-    let mut harness = Harness::new(Settings {
+    let mut harness = running(Settings {
         cold_calls_per_s: Some(1),
         ..settings()
     });
@@ -104,6 +132,16 @@
 cases! {
     cold_backend_server_gets_its_rate_every_second: limit_renews_every_second();
     rate_limit_ends_with_the_cold_time: limit_ends_with_reported_cold_time();
+    calls_of_a_process_before_the_gate_may_fill_the_window: start_uses_the_window_up();
+    start_holds_up_no_server_that_is_not_cold: {
+        let mut harness = started();
+        harness.sign(Signal::ColdFor(Duration::ZERO));
+        assert_eq!(admitted(&mut harness, 20), 20);
+    };
+    load_report_tells_the_wait_after_a_start: {
+        let harness = started();
+        assert_eq!(harness.gate.load_report(harness.now).delay, Duration::from_secs(1));
+    };
     calls_before_the_cold_period_count: counts_calls_before_the_cold();
     queued_call_is_admitted_when_the_rate_permits: queued_call_is_admitted();
     call_that_would_start_too_late_is_refused_at_once: hopeless_call_is_refused_at_once();
