--- a/src/coordination/coordinator.rs
+++ b/src/coordination/coordinator.rs
@@ -10,7 +10,7 @@
 use crate::clock::{Clock, Time};
 use crate::membership::{ClusterSnapshot, Handle};
 use crate::plan::{Plan, Rollout};
-use crate::quota::Ledger;
+use crate::quota::{Counts, Ledger};
 use crate::rollout::{self, Controller, Phase, State};
 
 /// Time without any report after which nothing known is current any more.
@@ -122,8 +122,12 @@
             plan.tenant(*key).rate_limit
         };
         let ledger = &mut joined.ledger;
-        let period = Duration::from_millis(report.usage_ms);
-        ledger.on_report(now, &report.instance, &report.usage, period, nodes, limit);
+        let counts = Counts {
+            usage: &report.usage,
+            period: Duration::from_millis(report.usage_ms),
+            standings: &report.standings,
+        };
+        ledger.on_report(now, &report.instance, counts, nodes, limit);
         Directives {
             rollouts,
             restrictions: ledger.restrictions(now, nodes),
--- a/src/coordination/local.rs
+++ b/src/coordination/local.rs
@@ -10,7 +10,7 @@
 use super::Directives;
 use crate::clock::Time;
 use crate::plan::{Plan, RateLimit};
-use crate::quota::{Meter, TenantUsage};
+use crate::quota::{Meter, Standing, TenantUsage};
 use crate::rollout::{Directive, Evidence, VersionReport};
 
 /// Age from which a directive no longer closes a gate, unless its roll-out has ended.
@@ -109,6 +109,12 @@
         self.meter().take_usage(now)
     }
 
+    /// What the coordinator told last of tenants beyond their rate limit.
+    #[must_use]
+    pub fn standings(&self, now: Time) -> Vec<Standing> {
+        self.meter().standings(now)
+    }
+
     /// Waits until a report should not wait any longer.
     pub async fn report_overdue(&self) {
         self.is_overdue.notified().await;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,7 +21,7 @@
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 
-use crate::quota::{Restriction, TenantUsage};
+use crate::quota::{Restriction, Standing, TenantUsage};
 use crate::rollout;
 
 pub use coordinator::{Coordinator, Settings};
@@ -45,6 +45,9 @@
     /// Time in which these calls came, in milliseconds.
     #[serde(default)]
     pub usage_ms: u64,
+    /// Tenants whose demand is beyond their rate limit, as this node was told last.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub standings: Vec<Standing>,
 }
 
 /// What a node is told.
--- a/src/node/coordinate.rs
+++ b/src/node/coordinate.rs
@@ -44,6 +44,7 @@
     /// Reports until dropped, while the plan asks for something to be coordinated.
     pub async fn run(mut self) {
         let mut silent_until: BTreeMap<String, Time> = BTreeMap::new();
+        let mut has_asked_others = false;
         loop {
             let snapshot = self.handle.snapshot();
             let plan = &snapshot.plan;
@@ -51,7 +52,15 @@
                 self.handle.changed().await;
                 continue;
             }
-            self.report(&snapshot, &mut silent_until).await;
+            let mut coordinators = ranked(&snapshot.view, COORDINATORS_TRIED);
+            let is_own = |(name, _): &(String, SocketAddr)| *name == self.instance;
+            if !has_asked_others {
+                // Another one may have coordinated while this node was down.
+                coordinators.sort_by_key(is_own);
+                has_asked_others = !coordinators.iter().all(is_own);
+            }
+            self.report(&snapshot, coordinators, &mut silent_until)
+                .await;
             sleep(EARLY_REPORT_INTERVAL).await;
             let interval = self.report_interval(&snapshot);
             let rest = interval.saturating_sub(EARLY_REPORT_INTERVAL);
@@ -62,10 +71,15 @@
         }
     }
 
-    async fn report(&self, snapshot: &ClusterSnapshot, silent_until: &mut BTreeMap<String, Time>) {
+    /// Reports to the first of `coordinators` that replies, the silent ones last.
+    async fn report(
+        &self,
+        snapshot: &ClusterSnapshot,
+        mut coordinators: Vec<(String, SocketAddr)>,
+        silent_until: &mut BTreeMap<String, Time>,
+    ) {
         let now = self.clock.now();
         silent_until.retain(|_, until| *until > now);
-        let mut coordinators = ranked(&snapshot.view, COORDINATORS_TRIED);
         coordinators.sort_by_key(|(name, _)| silent_until.contains_key(name));
         self.local.set_plan(now, &snapshot.plan);
         for (name, address) in coordinators {
@@ -81,6 +95,7 @@
     async fn send(&self, coordinator: &str, address: SocketAddr) -> Option<Directives> {
         let load = self.executor.load();
         let in_hand = load.in_hand + load.queued;
+        let standings = self.local.standings(self.clock.now());
         let (usage, period) = self.local.take_usage(self.clock.now());
         let report = Report {
             instance: self.instance.clone(),
@@ -89,6 +104,7 @@
                 .version_report(self.clock.now(), load.accepting, in_hand),
             usage,
             usage_ms: u64::try_from(period.as_millis()).unwrap_or(u64::MAX),
+            standings,
         };
         if coordinator == self.instance {
             return Some(self.report_handler.on_report(report));
--- a/src/quota/meter.rs
+++ b/src/quota/meter.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Restriction, TenantUsage};
+use super::{Restriction, Standing, TenantUsage};
 use crate::clock::Time;
 use crate::plan::RateLimit;
 use crate::token_bucket::TokenBucket;
@@ -49,6 +49,15 @@
     credit: f64,
     /// Limit of this entry while no coordinator is heard.
     own_part: Option<TokenBucket>,
+    /// Bucket and demand that the coordinator told last.
+    told: Option<Told>,
+}
+
+/// What a coordinator told of a tenant at all entries.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    level: f64,
+    demand_per_s: f64,
 }
 
 impl Default for Usage {
@@ -62,6 +71,7 @@
             share: 1.0,
             credit: 1.0,
             own_part: None,
+            told: None,
         }
     }
 }
@@ -148,6 +158,25 @@
         (taken, now.since(since))
     }
 
+    /// What the coordinator told last, for one that does not know it.
+    #[must_use]
+    pub fn standings(&self, now: Time) -> Vec<Standing> {
+        let Some(heard_at) = self.heard_at else {
+            return Vec::new();
+        };
+        let age_ms = u64::try_from(now.since(heard_at).as_millis()).unwrap_or(u64::MAX);
+        let standing = |(tenant, usage): (&String, &Usage)| {
+            let told = usage.told?;
+            Some(Standing {
+                tenant: tenant.clone(),
+                level: told.level,
+                demand_per_s: told.demand_per_s,
+                age_ms,
+            })
+        };
+        self.tenants.iter().filter_map(standing).collect()
+    }
+
     /// Takes in the reply to the last report: all restrictions in force.
     pub fn on_reply(&mut self, now: Time, restrictions: &[Restriction]) {
         self.heard_at = Some(now);
@@ -155,11 +184,16 @@
         for usage in self.tenants.values_mut() {
             usage.in_report = None;
             usage.share = 1.0;
+            usage.told = None;
         }
         for restriction in restrictions {
             let tenant = restriction.tenant.clone();
             let usage = self.tenants.entry(tenant).or_default();
             usage.share = restriction.share.clamp(0.0, 1.0);
+            usage.told = Some(Told {
+                level: restriction.level,
+                demand_per_s: restriction.demand_per_s,
+            });
         }
         self.tenants.retain(|_, usage| !usage.is_idle());
     }
@@ -212,6 +246,7 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.asked == 0 && self.admitted == 0 && self.share >= 1.0 && self.admitted_per_s < 0.01
+        let is_quiet = self.asked == 0 && self.admitted == 0 && self.admitted_per_s < 0.01;
+        is_quiet && self.share >= 1.0 && self.told.is_none()
     }
 }
--- a/src/quota/tests/fleet.rs
+++ b/src/quota/tests/fleet.rs
@@ -8,11 +8,13 @@
 
 use crate::clock::Time;
 use crate::plan::RateLimit;
-use crate::quota::{Ledger, Meter};
+use crate::quota::{Counts, Ledger, Meter};
 
 const STEP: Duration = Duration::from_millis(10);
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 const EARLY_REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Time for which an entry passes a coordinator over that did not reply.
+const SILENT_COORDINATOR_PAUSE: Duration = Duration::from_secs(2);
 /// Window of the operators' rule, and what it adds to a limit.
 const WINDOW: Duration = Duration::from_secs(5);
 const RULE_FACTOR: f64 = 1.1;
@@ -36,9 +38,27 @@
     pub cut_from: Option<usize>,
     /// Calls move to the last entries at this time.
     pub callers_move: Option<Duration>,
+    /// Processes that are killed and started again, the coordinator's among them.
+    pub killed: Option<Killed>,
     pub length: Duration,
 }
 
+/// Processes killed at one moment.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Killed {
+    pub at: Duration,
+    /// The first so many nodes; the coordinator is beside the first entry.
+    pub nodes: usize,
+    /// Time until they are started again.
+    pub down_for: Duration,
+}
+
+impl Killed {
+    fn is_down(&self, elapsed: Duration) -> bool {
+        elapsed >= self.at && elapsed < self.at + self.down_for
+    }
+}
+
 /// What ran.
 #[derive(Debug, Default)]
 pub(super) struct Outcome {
@@ -55,6 +75,19 @@
     meter: Meter,
     next_report: Duration,
     reported: Duration,
+    /// Until then the first coordinator is passed over.
+    passes_over_until: Duration,
+}
+
+impl Entry {
+    fn start(at: Duration, rng: &mut ChaCha8Rng) -> Self {
+        Self {
+            meter: Meter::default(),
+            next_report: at + EARLY_REPORT_INTERVAL.mul_f64(rng.random()),
+            reported: at,
+            passes_over_until: Duration::ZERO,
+        }
+    }
 }
 
 impl Load {
@@ -63,11 +96,7 @@
         let mut outcome = Outcome::default();
         let mut ledgers = [Ledger::default(), Ledger::default()];
         let mut entries: Vec<Entry> = (0..self.nodes)
-            .map(|_| Entry {
-                meter: Meter::default(),
-                next_report: EARLY_REPORT_INTERVAL.mul_f64(rng.random()),
-                reported: Duration::ZERO,
-            })
+            .map(|_| Entry::start(Duration::ZERO, &mut rng))
             .collect();
         let mut window: VecDeque<(Duration, u32)> = VecDeque::new();
         let mut elapsed = Duration::ZERO;
@@ -84,8 +113,21 @@
                 .coordinator_dies
                 .is_some_and(|at| elapsed >= at && elapsed < at + Duration::from_secs(1));
             let is_cut = elapsed >= self.length / 2;
+            let down = self.killed.filter(|killed| killed.is_down(elapsed));
+            let down = down.map_or(0, |killed| killed.nodes);
+            if down > 0 {
+                ledgers[0] = Ledger::default();
+                for entry in &mut entries[..down] {
+                    *entry = Entry::start(elapsed, &mut rng);
+                }
+                // The process beside the coordinator asks the others first.
+                entries[0].passes_over_until = elapsed + EARLY_REPORT_INTERVAL;
+            }
             let mut ran = 0;
             for call in self.calls(elapsed, &mut rng) {
+                if call < down {
+                    continue;
+                }
                 let entry = &mut entries[call];
                 let admitted = entry
                     .meter
@@ -117,15 +159,25 @@
                 (self.limit.per_s * seconds + self.limit.burst) * RULE_FACTOR + RULE_SLACK;
             outcome.worst_window = outcome.worst_window.max(f64::from(in_window) / allowed);
             for (number, entry) in entries.iter_mut().enumerate() {
-                if elapsed < entry.next_report || is_down {
+                if elapsed < entry.next_report || is_down || number < down {
                     continue;
                 }
+                if down > 0 && elapsed >= entry.passes_over_until {
+                    entry.passes_over_until = elapsed + SILENT_COORDINATOR_PAUSE;
+                }
                 entry.reported = elapsed;
                 entry.next_report = elapsed + REPORT_INTERVAL;
-                let side = usize::from(is_cut && self.cut_from.is_some_and(|cut| number >= cut));
+                let is_beyond_cut = is_cut && self.cut_from.is_some_and(|cut| number >= cut);
+                let side = usize::from(is_beyond_cut || elapsed < entry.passes_over_until);
+                let standings = entry.meter.standings(now);
                 let (usage, period) = entry.meter.take_usage(now);
+                let counts = Counts {
+                    usage: &usage,
+                    period,
+                    standings: &standings,
+                };
                 let ledger = &mut ledgers[side];
-                ledger.on_report(now, &number.to_string(), &usage, period, self.nodes, |_| {
+                ledger.on_report(now, &number.to_string(), counts, self.nodes, |_| {
                     Some(self.limit)
                 });
                 let restrictions = ledger.restrictions(now, self.nodes);
--- a/src/quota/tests/limits.rs
+++ b/src/quota/tests/limits.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::fleet::{Load, Outcome};
+use super::fleet::{Killed, Load, Outcome};
 use crate::clock::Time;
 use crate::plan::RateLimit;
-use crate::quota::{Ledger, Meter, Restriction, TenantUsage};
+use crate::quota::{Counts, Ledger, Meter, Restriction, TenantUsage};
 
 /// Seeds of each load; `MONSOONCOVE_SEEDS` plays more by hand.
 const SEEDS: u64 = 6;
@@ -30,9 +30,37 @@
     coordinator_dies: None,
     cut_from: None,
     callers_move: None,
+    killed: None,
     length: Duration::from_secs(24),
 };
 
+/// The process of the coordinator, killed soon after the demand has become as great.
+const COORDINATOR_KILLED: Killed = Killed {
+    at: Duration::from_millis(6_600),
+    nodes: 1,
+    down_for: Duration::from_millis(500),
+};
+
+/// More than half of all processes, the coordinator's among them, killed at that moment.
+const HERD_KILLED: Killed = Killed {
+    nodes: 48,
+    down_for: Duration::from_secs(2),
+    ..COORDINATOR_KILLED
+};
+
+/// A few nodes with a tenant whose demand becomes 7.5 times as great, 4.7 times its limit.
+const FEW_NODES: Load = Load {
+    nodes: 6,
+    entries: 6,
+    limit: RateLimit {
+        per_s: 60.0,
+        burst: 20.0,
+    },
+    usual_per_s: 37.5,
+    hot_per_s: 281.25,
+    ..HOT
+};
+
 const CALM: Load = Load {
     hot_per_s: HOT.usual_per_s,
     ..HOT
@@ -97,13 +125,19 @@
         per_s: 20.0,
         burst: 20.0,
     };
+    let usage = usage(100, 100);
+    let counts = Counts {
+        usage: &usage,
+        period: SECOND,
+        ..Counts::default()
+    };
     for second in 1..6 {
         let now = Time::from_millis(second * 1_000);
-        ledger.on_report(now, "a", &usage(100, 100), SECOND, 1, |_| Some(LIMIT));
+        ledger.on_report(now, "a", counts, 1, |_| Some(LIMIT));
         assert!(ledger.restrictions(now, 1).is_empty());
     }
     let now = Time::from_millis(6_000);
-    ledger.on_report(now, "a", &usage(100, 100), SECOND, 1, |_| Some(lower));
+    ledger.on_report(now, "a", counts, 1, |_| Some(lower));
     let restrictions = ledger.restrictions(now, 1);
     assert!(restrictions[0].share < 0.3, "{restrictions:?}");
 }
@@ -138,6 +172,7 @@
     let restriction = Restriction {
         tenant: "mill".into(),
         share: 0.0,
+        ..Restriction::default()
     };
     meter.on_reply(Time::ZERO, &[restriction]);
     let mut admitted = || meter.admit(Time::ZERO, "mill", LIMIT, 1).is_ok();
@@ -172,6 +207,22 @@
         never_overruns(Load { coordinator_dies: Some(Duration::from_secs(9)), ..HOT });
     lost_coordinator_costs_nothing_within_the_limit:
         refuses_nothing(Load { coordinator_dies: Some(Duration::from_secs(9)), ..CALM });
+    coordinator_that_is_killed_and_returns_gives_out_no_more:
+        never_overruns(Load { killed: Some(COORDINATOR_KILLED), ..FEW_NODES });
+    coordinator_of_many_that_is_killed_and_returns_gives_out_no_more:
+        never_overruns(Load { killed: Some(COORDINATOR_KILLED), ..HOT });
+    herd_that_is_killed_and_returns_gives_out_no_more:
+        never_overruns(Load { killed: Some(HERD_KILLED), ..HOT });
+    killed_coordinator_costs_a_tenant_within_its_limit_nothing:
+        refuses_nothing(Load {
+            killed: Some(COORDINATOR_KILLED),
+            hot_per_s: FEW_NODES.usual_per_s,
+            ..FEW_NODES
+        });
+    killed_herd_costs_a_tenant_within_its_limit_nothing:
+        refuses_nothing(Load { killed: Some(HERD_KILLED), ..CALM });
+    killed_coordinator_leaves_the_limit_in_force:
+        serves_up_to_the_limit(Load { killed: Some(COORDINATOR_KILLED), ..HOT });
     two_halves_of_a_cut_fleet_never_overrun:
         never_overruns(Load { cut_from: Some(30), ..HOT });
     callers_that_move_get_their_limit:
