--- a/src/backend/executor.rs
+++ b/src/backend/executor.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::response::Parts;
 use http::{HeaderMap, Request, Response, StatusCode, Uri, Version as HttpVersion};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
@@ -23,6 +24,7 @@
 use crate::routing::Location;
 
 use super::answer::Tracked;
+use super::http::Suspicion;
 use super::rule::Rule;
 use super::{Client, Connection, Current, Failure, Job, Outcome, Progress, Server};
 
@@ -329,7 +331,7 @@
         };
         let (mut head, body) = response.into_parts();
         if !is_final_status(head.status) {
-            return Outcome::Unknown(call.lose(Loss::BackendServer));
+            return lose_to_foreign_answer(call, &head);
         }
         match self.dialect.classify_response(id.as_ref(), &head) {
             Answer::Answered => {}
@@ -341,7 +343,7 @@
                 self.server.misdirected();
                 return Outcome::NotRun(call.shed(ShedProof::from_response_head()));
             }
-            Answer::Mismatched => return Outcome::Unknown(call.lose(Loss::BackendServer)),
+            Answer::Mismatched => return lose_to_foreign_answer(call, &head),
         }
         self.read_signals(&head.headers);
         let call = call.answer(self.clock.now());
@@ -363,6 +365,14 @@
     }
 }
 
+/// Ends a call whose answer has not come, but another one in its place.
+fn lose_to_foreign_answer(call: Call<Dispatched>, head: &Parts) -> Outcome {
+    if let Some(suspicion) = head.extensions.get::<Suspicion>() {
+        suspicion.raise();
+    }
+    Outcome::Unknown(call.lose(Loss::BackendServer))
+}
+
 /// Whether a response with this status ends a request (RFC 9110, 15): a server in trouble may send
 /// any three digits.
 fn is_final_status(status: StatusCode) -> bool {
--- a/src/backend/http.rs
+++ b/src/backend/http.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -172,15 +173,34 @@
 
     fn answer(self, response: Response<Incoming>) -> Response<Body> {
         let kept = kept_alive(response.headers());
-        response.map(|incoming| {
+        let suspicion = Suspicion::default();
+        let mut response = response.map(|incoming| {
             Answer {
                 incoming,
                 reuse: Some((self.sender, self.pool)),
                 kept,
+                suspicion: suspicion.clone(),
             }
-            .end_if_empty()
             .boxed_unsync()
-        })
+        });
+        response.extensions_mut().insert(suspicion);
+        response
+    }
+}
+
+/// Marks the connection of an answer that belongs to another request, in the extensions of that
+/// answer. The right one may still come there.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Suspicion(Arc<AtomicBool>);
+
+impl Suspicion {
+    /// Keeps the connection from being used again.
+    pub(super) fn raise(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    fn is_raised(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
     }
 }
 
@@ -211,25 +231,29 @@
     }
 }
 
-/// Body of an answer; returns its connection to the pool when it is whole.
+/// Body of an answer; returns its connection to the pool when it is whole. An empty one does so when
+/// it is dropped, after its head has been looked at.
 struct Answer {
     incoming: Incoming,
     reuse: Option<(SendRequest<Body>, Arc<Pool>)>,
     /// Time for which the backend server keeps the idle connection.
     kept: Option<Duration>,
+    suspicion: Suspicion,
 }
 
 impl Answer {
-    fn end_if_empty(mut self) -> Self {
-        if self.incoming.is_end_stream() {
-            self.release();
+    fn release(&mut self) {
+        let reuse = self.reuse.take().filter(|_| !self.suspicion.is_raised());
+        if let Some((sender, pool)) = reuse {
+            pool.give_back(sender, self.kept);
         }
-        self
     }
+}
 
-    fn release(&mut self) {
-        if let Some((sender, pool)) = self.reuse.take() {
-            pool.give_back(sender, self.kept);
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if self.incoming.is_end_stream() {
+            self.release();
         }
     }
 }
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -5,6 +5,7 @@
 
 use futures::FutureExt;
 use hyper::client::conn::http1::SendRequest;
+use tokio::runtime::Handle;
 use tokio::time::Instant;
 
 use crate::call::Body;
@@ -55,8 +56,12 @@
             Some(Ok(())) => self.keep(sender, kept),
             Some(Err(_)) => {}
             None => {
+                // At the end of the process there is no runtime any more, and nothing to keep.
+                let Ok(runtime) = Handle::try_current() else {
+                    return;
+                };
                 let pool = Arc::clone(self);
-                tokio::spawn(async move {
+                runtime.spawn(async move {
                     if sender.ready().await.is_ok() {
                         pool.keep(sender, kept);
                     }
