--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -5,6 +5,7 @@
 //! of a leaving process and the closing of its gate are one step, so nothing
 //! reaches the process through this node after it.
 
+mod cold_time;
 mod presence;
 mod recall;
 #[cfg(test)]
@@ -32,6 +33,7 @@
 
 use super::{Client, Current, Http};
 
+pub use cold_time::ColdTime;
 pub use presence::{Known, Presence, Reaction, Report};
 pub use recall::Recall;
 
@@ -114,6 +116,7 @@
 struct Shelf {
     presence: Presence,
     recall: Recall,
+    cold_time: ColdTime,
     /// What was passed on last.
     passed: Option<Known>,
     /// Departure that was announced last.
@@ -147,6 +150,7 @@
             state: Mutex::new(Shelf {
                 presence,
                 recall: Recall::default(),
+                cold_time: ColdTime::default(),
                 passed: None,
                 announced_departure: None,
                 kept_departure: None,
@@ -171,9 +175,10 @@
             }
             self.settle(&mut state);
             // A process that left before says nothing of the one in use.
-            if is_known {
-                let cold_for = Signal::ColdFor(report.cold_for);
-                self.parts.admission.on_signal(cold_for);
+            if is_known && let Some(cold_for) = report.cold_for {
+                let now = self.parts.clock.now();
+                let signal = state.cold_time.on_report(now, &report.process, cold_for);
+                self.parts.admission.on_signal(signal);
             }
         } else {
             log::debug!(
@@ -346,8 +351,10 @@
         if let Some(known) = state.presence.known() {
             self.configure(plan, known);
         }
-        if let Some(time) = health.cold_for {
-            self.parts.admission.on_signal(Signal::ColdFor(time));
+        if let Some((process, cold_for)) = health.process.as_ref().zip(health.cold_for) {
+            let now = self.parts.clock.now();
+            let signal = state.cold_time.on_health(now, process, cold_for);
+            self.parts.admission.on_signal(signal);
         }
         for &signal in &health.signals {
             self.parts.admission.on_signal(signal);
--- a/src/backend/registry/presence.rs
+++ b/src/backend/registry/presence.rs
@@ -37,8 +37,8 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
-    /// Time for which it will be cold.
-    pub cold_for: Duration,
+    /// Time for which it will be cold; `None` if it did not say.
+    pub cold_for: Option<Duration>,
 }
 
 /// What became of a report.
--- a/src/backend/registry/tests/mod.rs
+++ b/src/backend/registry/tests/mod.rs
@@ -1,10 +1,10 @@
 //! Which process is taken for the backend server.
 
+mod cold_time;
 mod orders;
 mod recall;
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use super::{Presence, Reaction, Report};
 use crate::backend::Server;
@@ -27,7 +27,7 @@
         address: address(),
         slots: 9,
         leaving: false,
-        cold_for: Duration::ZERO,
+        cold_for: None,
     }
 }
 
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -139,6 +139,7 @@
                 self.transition(Phase::reset_to_cold);
             }
             Signal::ColdFor(time) => self.cold_until = now + time,
+            Signal::ColdAtLeast(time) => self.cold_until = self.cold_until.max(now + time),
             Signal::SlowdownPercent(percent) => {
                 self.slowdown.on_report(now, percent);
                 self.load_queries.on_report();
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -114,6 +114,8 @@
     Cold,
     /// Time for which the server reports that it will be cold; zero if it is not cold.
     ColdFor(Duration),
+    /// The same from a report that may be outdated: it does not end the cold sooner.
+    ColdAtLeast(Duration),
     /// Service time of work started now, in percent of the usual service time.
     SlowdownPercent(u32),
     /// The server reports that it is serving.
--- a/src/gate/tests/cold_rate_limit.rs
+++ b/src/gate/tests/cold_rate_limit.rs
@@ -145,6 +145,21 @@
     calls_before_the_cold_period_count: counts_calls_before_the_cold();
     queued_call_is_admitted_when_the_rate_permits: queued_call_is_admitted();
     call_that_would_start_too_late_is_refused_at_once: hopeless_call_is_refused_at_once();
+    outdated_report_does_not_end_the_cold: {
+        let mut harness = cold_for(500);
+        harness.sign(Signal::ColdAtLeast(Duration::ZERO));
+        assert_eq!(admitted(&mut harness, 20), 5);
+    };
+    outdated_report_does_not_make_an_unknown_server_warm: {
+        let mut harness = cold();
+        harness.sign(Signal::ColdAtLeast(Duration::ZERO));
+        assert_eq!(admitted(&mut harness, 20), 5);
+    };
+    outdated_report_may_lengthen_the_cold: {
+        let mut harness = cold_for(0);
+        harness.sign(Signal::ColdAtLeast(Duration::from_millis(500)));
+        assert_eq!(admitted(&mut harness, 20), 5);
+    };
     new_process_may_be_cold: {
         let mut harness = cold_for(0);
         harness.sign(Signal::Boot(1));
