Gate: name no time that has passed while a trial call runs

Cause: the end of a backoff stayed among the times of the next tick while the one trial call ran with others behind it, so the timer turned without a pause.

Change: the end counts only until it has passed.

Evidence: running_trial_needs_no_tick failed before; it holds now.

--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -42,6 +42,8 @@
     latency_collapse: LatencyCollapse,
     pub(super) concurrency_limit: ConcurrencyLimit,
     pub(super) backoff: Backoff,
+    /// End of a backoff that has not passed yet.
+    pub(super) backoff_ends_at: Option<Time>,
     pub(super) running: BTreeMap<CallId, RunningCall>,
     pub(super) queued_classes: BTreeMap<CallId, CallClass>,
     pub(super) service_times: ServiceTimes,
@@ -67,6 +69,7 @@
             latency_collapse: LatencyCollapse::default(),
             concurrency_limit: ConcurrencyLimit::new(&settings, now),
             backoff: Backoff::default(),
+            backoff_ends_at: None,
             running: BTreeMap::new(),
             queued_classes: BTreeMap::new(),
             service_times: ServiceTimes::default(),
@@ -200,7 +203,7 @@
         let times = [
             self.queue.next_expiry(),
             drain_queue_deadline,
-            self.backoff.until(),
+            self.backoff_ends_at,
         ];
         let times = times
             .into_iter()
--- a/src/gate/start.rs
+++ b/src/gate/start.rs
@@ -20,6 +20,7 @@
         self.expire_queued(now, actions);
         self.next_permitted_at = None;
         self.load_recheck_at = None;
+        self.backoff_ends_at = self.backoff.until().filter(|until| *until > now);
         while self.in_hand() < self.limit() && !self.backoff.is_active(now) {
             if self.queue.is_empty() || !self.cold_rate_permits(now) {
                 break;
--- a/src/gate/tests/failures.rs
+++ b/src/gate/tests/failures.rs
@@ -58,6 +58,18 @@
     assert!(harness.admitted(second));
 }
 
+/// Guards against a timer that turns without a pause while a trial call runs.
+fn running_trial_needs_no_tick_for_the_end_of_the_pause() {
+    let mut harness = Harness::serving();
+    let call_id = harness.arrive(1);
+    harness.finish(call_id, Outcome::Unreachable);
+    harness.pass(150);
+    let trial = harness.arrive(1);
+    let waiting = harness.arrive(1);
+    assert!(harness.admitted(trial) && !harness.admitted(waiting));
+    assert!(harness.gate.next_tick() > Some(harness.now));
+}
+
 fn failures_of_a_trial_lengthen_the_pause() {
     let mut harness = Harness::serving();
     let call_id = harness.arrive(1);
@@ -217,6 +229,7 @@
     late_boot_id_is_ignored: late_sign_of_an_earlier_process_is_no_restart();
     reported_cold_outweighs_good_responses: good_answers_do_not_warm_while_the_server_says_cold();
     failure_streak_pauses_admission: failing_fast_stops_admission_until_a_trial_succeeds();
+    running_trial_needs_no_tick: running_trial_needs_no_tick_for_the_end_of_the_pause();
     failed_trial_pauses_longer: failures_of_a_trial_lengthen_the_pause();
     zone_out_empties_the_queue: zone_out_queue_is_refused_after_a_bounded_time();
     zone_out_with_every_other_zone_full: full_zone_sheds_the_lowest_worth_of_a_departed_one();
