Routes: a host has no case

Cause: hosts were compared as written, so a request for A.Example got 404 though the configuration has a.example.

Change: routes are kept by host in lower case; a host that is not found as written is looked for so.

--- a/src/plan/mod.rs
+++ b/src/plan/mod.rs
@@ -68,7 +68,7 @@
     pub service_names: BTreeMap<String, key::Service>,
     /// Tenant keys by name.
     pub tenant_names: BTreeMap<String, key::Tenant>,
-    /// Routes by host, longest path first. Where there are any, they alone
+    /// Routes by host in lower case, longest path first. Where there are any, they alone
     /// decide which route a request takes.
     pub hosts: BTreeMap<String, Vec<key::Route>>,
     /// Bounds on callers, where the plan states them.
@@ -225,10 +225,13 @@
         self.route(found).leads_to(service).then_some(found)
     }
 
-    /// Most specific route of `host` for `path`.
+    /// Most specific route of `host` for `path`. A host has no case (RFC 9110, 4.2.3).
     #[must_use]
     pub fn find_hosted(&self, host: &str, path: &str) -> Option<key::Route> {
-        let routes = self.hosts.get(host)?;
+        let routes = match self.hosts.get(host) {
+            Some(routes) => routes,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
         let path = path.split(['?', '#']).next().unwrap_or_default();
         let covers = |key: &key::Route| path.starts_with(&self.route(*key).path);
         routes.iter().copied().find(covers)
