Registry: a report of a service that the plan does not name changes nothing

Callers would see 503 until the server's next check-in.

Cause: a check-in of another writer, with the server's address and a service that no configuration names, took the place of the server. PROTOCOL.md says of such a check-in that it names no upstream to use, and that the others hold.

Change: while a plan is in force, a report of a service that it does not name is answered like an outdated one. One that says that its process leaves still counts.

Evidence: report_of_a_service_that_is_not_named_changes_nothing failed before (503, 200 expected).

--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -117,6 +118,8 @@
     presence: Presence,
     recall: Recall,
     cold_time: ColdTime,
+    /// Services of the plan in force; empty without one.
+    services: BTreeSet<String>,
     /// What was passed on last.
     passed: Option<Known>,
     /// Departure that was announced last.
@@ -127,6 +130,11 @@
 }
 
 impl Shelf {
+    /// Whether the plan names the service, or there is no plan yet.
+    fn is_named(&self, service: &str) -> bool {
+        self.services.is_empty() || self.services.contains(service)
+    }
+
     /// The process that is known, unless it may be one that has left.
     fn known(&self) -> Option<&Known> {
         let admitted = |known: &&Known| known.leaving || self.recall.admits(&known.process);
@@ -151,6 +159,7 @@
                 presence,
                 recall: Recall::default(),
                 cold_time: ColdTime::default(),
+                services: BTreeSet::new(),
                 passed: None,
                 announced_departure: None,
                 kept_departure: None,
@@ -164,7 +173,12 @@
     /// Takes in a report of a backend server.
     pub fn report(&self, report: &Report) -> Reaction {
         let mut state = self.lock();
-        let reaction = state.presence.report(report);
+        let reaction = if state.is_named(&report.service) || report.leaving {
+            state.presence.report(report)
+        } else {
+            // Something else writes here too; what is known holds.
+            Reaction::Outdated
+        };
         if reaction == Reaction::Accepted {
             let is_known = state.presence.known().is_some_and(|known| {
                 known.process == report.process && known.born_ms == report.born_ms
@@ -244,7 +258,8 @@
     /// Puts the settings of the plan in force at the gate.
     pub fn take_up(&self, plan: &Plan) {
         self.parts.local.set_plan(self.parts.clock.now(), plan);
-        let state = self.lock();
+        let mut state = self.lock();
+        state.services = plan.service_names.keys().cloned().collect();
         if let Some(known) = state.presence.known() {
             self.configure(plan, known);
         }
