--- a/src/membership/direct/mod.rs
+++ b/src/membership/direct/mod.rs
@@ -279,7 +279,6 @@
         subject: follower::Subject::Nodes,
     };
     let bootstrap = Bootstrap {
-        prefix: settings.prefix.clone(),
         client: Arc::clone(&client),
         shared: Arc::clone(&shared),
     };
--- a/src/membership/direct/recollection.rs
+++ b/src/membership/direct/recollection.rs
@@ -110,7 +110,7 @@
             let is_complete = inquiry.witnesses.is_empty() || inquiry.is_complete();
             return inquiry.recollection(is_complete);
         }
-        let may_be_new = !self.shared.has_missed_store() && !self.shared.joins_older_fleet();
+        let may_be_new = !self.shared.has_missed_store() && !self.shared.start.is_earlier();
         if may_be_new && self.is_new_fleet(&mut inquiry, &on_news).await {
             on_news(inquiry.recollection(true));
             sleep(NEW_FLEET_CHECK_DELAY).await;
--- a/src/membership/direct/shared.rs
+++ b/src/membership/direct/shared.rs
@@ -1,11 +1,13 @@
 //! State shared by the tasks of direct membership: plan replica, roster and own announcement.
 //!
 //! Listings and changes from the store and plan records from peers come in; each change publishes a
-//! new snapshot.
+//! new snapshot. What comes in of announcements stands in a file of its own.
+
+mod announcements;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -17,16 +19,13 @@
 };
 use crate::clock::{Clock, Time};
 use crate::membership::handle::Publisher;
-use crate::membership::{ClusterSnapshot, Epoch, Instance, InstanceId, State, View};
+use crate::membership::{ClusterSnapshot, Epoch, Instance, State, View};
 use crate::plan::{Plan, Version};
-use crate::store::{Change, Lease, Listing, Record, Revision};
+use crate::store::{Change, Lease, Listing, Revision};
 
-use super::bootstrap;
+use super::bootstrap::Start;
 use super::follower::Subject;
 
-/// Topic of the ranking by which one node records the start of the fleet.
-const BOOTSTRAP_TOPIC: &str = "bootstrap";
-
 /// Time between two removals of expired announcements.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -62,10 +61,8 @@
     pub(super) previous_announcement: watch::Sender<PreviousAnnouncement>,
     /// Whether the store gave no answer to a listing of announcements before the first that it gave.
     has_missed_store: AtomicBool,
-    /// Whether the first listing of announcements showed that the fleet had been started before.
-    joins_older_fleet: AtomicBool,
-    /// Who records in the store that the fleet has been started.
-    bootstrap: watch::Sender<BootstrapDuty>,
+    /// What is known of the first start of the fleet.
+    pub(super) start: Start,
     /// Departure that the announcement in the store tells.
     stored_departure: watch::Sender<Option<DepartedProcess>>,
     /// Notified when this node's announcement is missing from the store.
@@ -85,18 +82,6 @@
     Found(Box<StoredAnnouncement>),
 }
 
-/// Whether this node is to record that the fleet has been started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum BootstrapDuty {
-    /// Another node ranks before this one.
-    #[default]
-    Others,
-    /// This node ranks first.
-    Own,
-    /// The record is in the store.
-    Done,
-}
-
 /// An announcement as the store holds it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct StoredAnnouncement {
@@ -172,8 +157,7 @@
             watch_pause_max: settings.watch_pause_max,
             started_at: now,
             has_missed_store: AtomicBool::new(false),
-            joins_older_fleet: AtomicBool::new(false),
-            bootstrap: watch::Sender::default(),
+            start: Start::new(&settings.prefix),
             stored_departure: watch::Sender::default(),
             prefix: settings.prefix.clone(),
             previous_announcement: watch::Sender::new(PreviousAnnouncement::Unknown),
@@ -501,16 +485,6 @@
         self.compile(state);
     }
 
-    /// A complete roster without this node means that its announcement was lost.
-    fn check_own_announcement(&self, state: &Inner) {
-        let is_known = self.is_listed();
-        let is_announced = state.roster.announced().any(|node| node.name == self.name);
-        let was_announced = state.roster.instances().any(|node| node.name == self.name);
-        if is_known && was_announced && !is_announced {
-            self.announcement_lost.notify_one();
-        }
-    }
-
     fn compile(&self, state: &mut Inner) {
         match state.plan_replica.take_plan() {
             Ok(Some(plan)) => {
@@ -525,155 +499,6 @@
         }
     }
 
-    pub(super) fn on_nodes_listed(&self, listing: &Listing) {
-        let now = self.clock.now();
-        let mut announcements = BTreeMap::new();
-        let mut previous_announcement = None;
-        if lists_bootstrap(listing, &self.prefix) {
-            self.set_bootstrapped();
-            if !self.is_listed() {
-                self.joins_older_fleet.store(true, Ordering::Relaxed);
-            }
-        }
-        for record in &listing.records {
-            let Some(announcement) = self.parse_announcement(record) else {
-                continue;
-            };
-            if announcement.instance.name == self.name {
-                previous_announcement = Some(StoredAnnouncement {
-                    announcement: announcement.clone(),
-                    revision: record.revision,
-                    lease: record.lease,
-                });
-            }
-            announcements.insert(announcement.instance.name.clone(), announcement);
-        }
-        let is_restart = previous_announcement.is_some();
-        let is_first = self.set_previous_once(previous_announcement);
-        let mut state = self.lock();
-        if is_first && is_restart {
-            state.relays.skip_settling();
-        }
-        if !is_first && !announcements.contains_key(&self.name) {
-            self.announcement_lost.notify_one();
-        }
-        let instances = announcements.into_values().map(|current| current.instance);
-        state.roster.on_listed(now, listing.revision.0, instances);
-        self.publish(&mut state);
-    }
-
-    pub(super) fn on_nodes_changed(&self, changes: Vec<Change>) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        for change in changes {
-            match change {
-                Change::Put(record) => {
-                    if let Some(announcement) = self.parse_announcement(&record) {
-                        state.roster.on_announced(announcement.instance);
-                    }
-                }
-                Change::Delete { key, revision } => {
-                    let name = key.strip_prefix(&self.prefix).unwrap_or_default();
-                    state.roster.on_deleted(now, name, revision.0);
-                    if name == self.name {
-                        self.announcement_lost.notify_one();
-                    }
-                }
-            }
-        }
-        self.publish(&mut state);
-    }
-
-    /// Parses an announcement. Its epoch is set to the record revision, which orders the
-    /// announcements of one node.
-    fn parse_announcement(&self, record: &Record) -> Option<Announcement> {
-        let name = record.key.strip_prefix(&self.prefix)?;
-        let parsed = serde_json::from_str::<Announcement>(&record.value);
-        match parsed {
-            Ok(mut announcement) if announcement.instance.name == name => {
-                announcement.instance.epoch = Epoch(record.revision.0);
-                Some(announcement)
-            }
-            Ok(_) => None,
-            Err(error) => {
-                log::warn!("{} in the store is not understood: {error}", record.key);
-                None
-            }
-        }
-    }
-
-    /// Records that announcements could not be listed when this node started.
-    pub(super) fn set_missed_store(&self) {
-        self.has_missed_store.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether announcements could not be listed when this node started.
-    pub(super) fn has_missed_store(&self) -> bool {
-        self.has_missed_store.load(Ordering::Relaxed)
-    }
-
-    /// Whether the fleet had been started before this node listed its announcements.
-    pub(super) fn joins_older_fleet(&self) -> bool {
-        self.joins_older_fleet.load(Ordering::Relaxed)
-    }
-
-    /// Records that the store tells that the fleet has been started.
-    pub(super) fn set_bootstrapped(&self) {
-        set_if_changed(&self.bootstrap, BootstrapDuty::Done);
-    }
-
-    /// Waits until this node is to record that the fleet has been started.
-    pub(super) async fn wait_until_bootstrap_is_due(&self) {
-        let mut bootstrap = self.bootstrap.subscribe();
-        // The sender lives as long as this does.
-        let _ = bootstrap.wait_for(|duty| *duty == BootstrapDuty::Own).await;
-    }
-
-    /// Gives the record of the start to the node that ranks first, which may have changed.
-    fn assign_bootstrap(&self, state: &Inner) {
-        let topic = InstanceId::of(BOOTSTRAP_TOPIC);
-        let own_rank = InstanceId::of(&self.name).score(topic);
-        let mut others = state
-            .roster
-            .announced()
-            .filter(|node| node.name != self.name);
-        let is_first = others.all(|node| InstanceId::of(&node.name).score(topic) < own_rank);
-        if is_first && *self.bootstrap.borrow() == BootstrapDuty::Others {
-            self.bootstrap.send_replace(BootstrapDuty::Own);
-        }
-    }
-
-    /// Whether announcements have been listed since the start.
-    fn is_listed(&self) -> bool {
-        *self.previous_announcement.borrow() != PreviousAnnouncement::Unknown
-    }
-
-    /// Returns the announcement that the store held before this start. Waits for the first listing.
-    pub(super) async fn previous_stored(&self) -> Option<StoredAnnouncement> {
-        let mut previous_announcement = self.previous_announcement.subscribe();
-        let current = previous_announcement
-            .wait_for(|current| *current != PreviousAnnouncement::Unknown)
-            .await;
-        match current.as_deref() {
-            Ok(PreviousAnnouncement::Found(previous_stored)) => Some((**previous_stored).clone()),
-            Ok(PreviousAnnouncement::Unknown | PreviousAnnouncement::Absent) | Err(_) => None,
-        }
-    }
-
-    /// Sets the previous announcement once. Returns whether it was unknown before.
-    fn set_previous_once(&self, previous_announcement: Option<StoredAnnouncement>) -> bool {
-        self.previous_announcement.send_if_modified(|current| {
-            let is_first = *current == PreviousAnnouncement::Unknown;
-            if is_first {
-                *current = previous_announcement
-                    .map_or(PreviousAnnouncement::Absent, |previous_stored| {
-                        PreviousAnnouncement::Found(Box::new(previous_stored))
-                    });
-            }
-            is_first
-        })
-    }
-
     pub(super) async fn run_expiry(self: Arc<Self>) {
         loop {
             tokio::time::sleep(EXPIRY_INTERVAL).await;
@@ -683,7 +508,7 @@
                 self.publish(&mut state);
             }
             if self.is_listed() {
-                self.assign_bootstrap(&state);
+                self.start.assign(&self.name, state.roster.announced());
             }
             self.expire_earlier_era(now, &mut state);
         }
@@ -739,12 +564,6 @@
     Some(records)
 }
 
-/// Whether the listing holds the record that the fleet has been started.
-fn lists_bootstrap(listing: &Listing, prefix: &str) -> bool {
-    let key = bootstrap::key(prefix);
-    listing.records.iter().any(|record| record.key == key)
-}
-
 fn log_role(watches: bool, is_relay: bool) {
     match (watches, is_relay) {
         (true, true) => log::info!("this node watches the store as a relay"),
