--- a/src/quota/ledger.rs
+++ b/src/quota/ledger.rs
@@ -99,11 +99,7 @@
                 self.accounts.remove(&usage.tenant);
                 continue;
             };
-            let account = self
-                .accounts
-                .entry(usage.tenant.clone())
-                .or_insert_with(|| Account::new(now, limit));
-            account.advance(now, limit, fleet);
+            let account = self.account(now, &usage.tenant, limit, fleet);
             account.level -= f64::from(usage.admitted);
             let per_s = f64::from(usage.asked) / seconds;
             account.demand_per_s.insert(node.to_owned(), per_s);
@@ -128,6 +124,16 @@
         restricted.collect()
     }
 
+    /// Account of a tenant, up to date.
+    fn account(&mut self, now: Time, tenant: &str, limit: RateLimit, fleet: Fleet) -> &mut Account {
+        let account = self
+            .accounts
+            .entry(tenant.to_owned())
+            .or_insert_with(|| Account::new(now, limit));
+        account.advance(now, limit, fleet);
+        account
+    }
+
     fn hears(&self, now: Time, node: &str) -> bool {
         let heard_at = self.heard.get(node);
         heard_at.is_some_and(|at| now.since(*at) < NODE_LIFETIME)
@@ -147,11 +153,7 @@
             let Some(limit) = limit(&standing.tenant).filter(|_| age < STANDING_LIFETIME) else {
                 continue;
             };
-            let account = self
-                .accounts
-                .entry(standing.tenant.clone())
-                .or_insert_with(|| Account::new(now, limit));
-            account.advance(now, limit, fleet);
+            let account = self.account(now, &standing.tenant, limit, fleet);
             account.inherit(now, standing, age);
         }
     }
