--- a/src/backend/registry/mod.rs
+++ b/src/backend/registry/mod.rs
@@ -447,6 +447,7 @@
             cold_calls_per_s: upkeep
                 .cold_per_s
                 .map(|per_s| self.parts.settings.cold_rate(per_s)),
+            cold_time: upkeep.cold_time,
             ..self.parts.settings.gate
         });
     }
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -141,7 +141,12 @@
                 self.reports_cold = true;
                 self.transition(Phase::reset_to_cold);
             }
-            Signal::ColdFor(time) => self.cold_until = now + time,
+            Signal::ColdFor(time) => {
+                self.cold_until = now + time;
+                if let Some(cold_time) = self.settings.cold_time {
+                    self.cold_rate_limit.on_cold(now, time, cold_time);
+                }
+            }
             Signal::ColdAtLeast(time) => self.cold_until = self.cold_until.max(now + time),
             Signal::SlowdownPercent(percent) => {
                 self.slowdown.on_report(now, percent);
--- a/src/gate/settings.rs
+++ b/src/gate/settings.rs
@@ -14,6 +14,8 @@
     /// Maximum calls per second while the backend server is cold, in addition to the concurrency
     /// limit.
     pub cold_calls_per_s: Option<u32>,
+    /// Time for which the backend server is cold after its start, if it is known.
+    pub cold_time: Option<Duration>,
     /// Share of the slots that is used. Backend servers that slow down when they are nearly full
     /// complete more calls with fewer slots in use.
     pub max_utilization: f64,
@@ -61,6 +63,7 @@
                 step_time: Duration::from_secs(1),
             },
             cold_calls_per_s: None,
+            cold_time: None,
             max_utilization: 1.0,
             queue_capacity: 32,
             initial_service_time: Duration::from_millis(10),
--- a/src/gate/tests/cold_rate_limit.rs
+++ b/src/gate/tests/cold_rate_limit.rs
@@ -133,6 +133,31 @@
     cold_backend_server_gets_its_rate_every_second: limit_renews_every_second();
     rate_limit_ends_with_the_cold_time: limit_ends_with_reported_cold_time();
     calls_of_a_process_before_the_gate_may_fill_the_window: start_uses_the_window_up();
+    // Guards against a fleet that lost power and serves nothing for a second when it is back.
+    start_holds_up_no_server_that_has_started_too: {
+        let mut harness = Harness::new(Settings {
+            cold_time: Some(Duration::from_secs(3)),
+            ..cold_settings()
+        });
+        harness.sign(Signal::ColdFor(Duration::from_millis(2_800)));
+        assert_eq!(admitted(&mut harness, 20), 5);
+    };
+    start_holds_up_a_server_that_has_been_cold_for_longer: {
+        let mut harness = Harness::new(Settings {
+            cold_time: Some(Duration::from_secs(3)),
+            ..cold_settings()
+        });
+        harness.sign(Signal::ColdFor(Duration::from_millis(1_500)));
+        assert_eq!(admitted(&mut harness, 20), 0);
+    };
+    start_holds_up_a_server_whose_cold_did_not_begin_with_its_start: {
+        let mut harness = Harness::new(Settings {
+            cold_time: Some(Duration::from_secs(3)),
+            ..cold_settings()
+        });
+        harness.sign(Signal::ColdFor(Duration::from_secs(6)));
+        assert_eq!(admitted(&mut harness, 20), 0);
+    };
     start_holds_up_no_server_that_is_not_cold: {
         let mut harness = started();
         harness.sign(Signal::ColdFor(Duration::ZERO));
--- a/src/plan/terms.rs
+++ b/src/plan/terms.rs
@@ -59,4 +59,6 @@
     pub max_connections: Option<u32>,
     /// Calls a second that a cold backend server can bear; unbounded when absent.
     pub cold_per_s: Option<u32>,
+    /// Time for which a backend server is cold after its start.
+    pub cold_time: Option<Duration>,
 }
